all: serve a call through two nodes, from release note to daily totals

Change: the whole path in thin form. An entry node routes, the node beside the upstream admits and runs; release notes go through compare-and-swap on the platform; membership is spread between nodes; keyed calls run at one gate incarnation only; counts are kept at both ends and reconciled.

--- /dev/null
+++ b/admission/pass.go
@@ -0,0 +1,133 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/banyancross/banyancross/call"
+)
+
+// Pass is one call's place at the gate.
+type Pass struct {
+	gate     *Gate
+	request  Request
+	sequence uint64
+	index    int
+	ready    chan struct{}
+	granted  bool
+	ended    bool
+	started  time.Time
+	refusal  *call.Refusal
+}
+
+// Ready is closed when the pass is granted or refused.
+func (p *Pass) Ready() <-chan struct{} { return p.ready }
+
+// Refusal returns why the pass was refused, nil when it was granted; it may be
+// read after Ready.
+func (p *Pass) Refusal() *call.Refusal {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	return p.refusal
+}
+
+// Abandon gives the place back when its caller stops waiting and tells whether
+// the pass had already been granted, in which case End is still due.
+func (p *Pass) Abandon() bool {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	if p.granted {
+		return true
+	}
+	if p.refusal == nil {
+		p.gate.shed(p, call.ReasonCancelled)
+	}
+	return false
+}
+
+// End frees the slot; answered tells that the service time is a good sample.
+func (p *Pass) End(now time.Time, answered bool) {
+	g := p.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !p.granted || p.ended {
+		return
+	}
+	p.ended = true
+	if answered {
+		g.limiter.observe(now, now.Sub(p.started), g.running)
+	}
+	g.running--
+	if p.request.Alone {
+		g.aloneActive = false
+	}
+	g.dispatch(now)
+}
+
+// passQueue is a heap ordered by depth, deepest first, then by deadline.
+type passQueue struct {
+	passes []*Pass
+}
+
+var _ heap.Interface = (*passQueue)(nil)
+
+// Len implements heap.Interface.
+func (q *passQueue) Len() int { return len(q.passes) }
+
+// Less implements heap.Interface.
+func (q *passQueue) Less(i, j int) bool { return before(q.passes[i], q.passes[j]) }
+
+// Swap implements heap.Interface.
+func (q *passQueue) Swap(i, j int) {
+	q.passes[i], q.passes[j] = q.passes[j], q.passes[i]
+	q.passes[i].index = i
+	q.passes[j].index = j
+}
+
+// Push implements heap.Interface.
+func (q *passQueue) Push(x any) {
+	pass := x.(*Pass)
+	pass.index = len(q.passes)
+	q.passes = append(q.passes, pass)
+}
+
+// Pop implements heap.Interface.
+func (q *passQueue) Pop() any {
+	last := len(q.passes) - 1
+	pass := q.passes[last]
+	q.passes[last] = nil
+	q.passes = q.passes[:last]
+	return pass
+}
+
+// ahead counts the passes that would be granted before pass.
+func (q *passQueue) ahead(pass *Pass) int {
+	count := 0
+	for _, other := range q.passes {
+		if before(other, pass) {
+			count++
+		}
+	}
+	return count
+}
+
+// last returns the pass that would be granted last.
+func (q *passQueue) last() *Pass {
+	last := q.passes[0]
+	for _, pass := range q.passes[1:] {
+		if before(last, pass) {
+			last = pass
+		}
+	}
+	return last
+}
+
+func before(a, b *Pass) bool {
+	if a.request.Depth != b.request.Depth {
+		return a.request.Depth > b.request.Depth
+	}
+	if !a.request.Deadline.Equal(b.request.Deadline) {
+		return a.request.Deadline.Before(b.request.Deadline)
+	}
+	return a.sequence < b.sequence
+}
--- /dev/null
+++ b/cmd/banyancross/load.go
@@ -0,0 +1,6 @@
+package main
+
+type (
+	loadCommand   struct{}
+	slopesCommand struct{}
+)
--- /dev/null
+++ b/cmd/banyancross/main.go
@@ -0,0 +1,81 @@
+// Command banyancross is a load balancer whose node runs beside each backend
+// server.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	_ "time/tzdata" // hosts carry no time zones of their own
+
+	"github.com/alecthomas/kong"
+
+	"github.com/banyancross/banyancross/settings"
+	"github.com/banyancross/banyancross/toml"
+)
+
+// The exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// cli holds the commands.
+type cli struct {
+	Node     nodeCommand     `cmd:"" help:"Run the node beside a backend server."`
+	Note     noteCommand     `cmd:"" help:"Publish, amend, withdraw and read release notes."`
+	Status   statusCommand   `cmd:"" help:"Show services, upstreams and nodes."`
+	Totals   totalsCommand   `cmd:"" help:"Show a day's totals."`
+	Settings settingsCommand `cmd:"" help:"Check a settings file."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole fleet in this process for some seconds."`
+	Load     loadCommand     `cmd:"" help:"Measure the routing policies against each other."`
+	Slopes   slopesCommand   `cmd:"" help:"Measure the figures of docs/CAPACITY.md."`
+	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of a backend server."`
+}
+
+// console is where a command writes.
+type console struct {
+	out io.Writer
+	err io.Writer
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], console{out: os.Stdout, err: os.Stderr}))
+}
+
+// run runs one command and returns the exit code.
+func run(arguments []string, c console) int {
+	exited := -1
+	parser, err := kong.New(&cli{}, kong.Name("banyancross"),
+		kong.Description("A load balancer for servers whose load shifts in milliseconds."),
+		kong.Writers(c.out, c.err), kong.UsageOnError(),
+		kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		_, _ = fmt.Fprintln(c.err, "banyancross:", err)
+		return exitFailure
+	}
+	context, err := parser.Parse(arguments)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(c.err, "banyancross:", err)
+		return exitUsage
+	}
+	if err := context.Run(c); err != nil {
+		_, _ = fmt.Fprintln(c.err, "banyancross:", err)
+		return exitCode(err)
+	}
+	return 0
+}
+
+// exitCode tells bad input from a failure.
+func exitCode(err error) int {
+	var badSettings *settings.Error
+	var badTOML *toml.Error
+	if errors.As(err, &badSettings) || errors.As(err, &badTOML) {
+		return exitUsage
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/banyancross/settings.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/banyancross/banyancross/settings"
+)
+
+// settingsCommand groups the commands about settings.
+type settingsCommand struct {
+	Check settingsCheckCommand `cmd:"" help:"Check a settings file."`
+}
+
+type settingsCheckCommand struct {
+	File string `arg:"" help:"The settings file, in TOML."`
+}
+
+// Run implements the command.
+func (command *settingsCheckCommand) Run(c console) error {
+	s, err := settings.Read(command.File)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(c.out, "settings of host %s in failure domain %s are well formed\n", s.Host(), s.FailureDomain())
+	return nil
+}
--- /dev/null
+++ b/control/message.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/banyancross/banyancross/membership"
+	"github.com/banyancross/banyancross/quarantine"
+	"github.com/banyancross/banyancross/totals"
+)
+
+// Kind tells what a message asks for.
+type Kind uint8
+
+// The kinds of message.
+const (
+	// Ping asks whether the receiver is alive.
+	Ping Kind = iota + 1
+	// IndirectPing asks the receiver to ping the address in Target.
+	IndirectPing
+	// News passes membership records and quarantined fingerprints on.
+	News
+	// Sync gives the sender's full membership and asks for the receiver's.
+	Sync
+	// Fetch asks for the configuration in force.
+	Fetch
+	// Counts gives daily totals to a relay.
+	Counts
+)
+
+// Message is what nodes send each other; which fields are set depends on Kind.
+type Message struct {
+	Sequence uint64              `cbor:"1,keyasint"`
+	Reply    bool                `cbor:"2,keyasint,omitempty"`
+	Kind     Kind                `cbor:"3,keyasint"`
+	From     string              `cbor:"4,keyasint"`
+	Revision uint64              `cbor:"5,keyasint,omitempty"`
+	Digest   uint64              `cbor:"6,keyasint,omitempty"`
+	Members  []membership.Member `cbor:"7,keyasint,omitempty"`
+	Target   string              `cbor:"8,keyasint,omitempty"`
+	State    []byte              `cbor:"9,keyasint,omitempty"`
+	Counts   []totals.DayReport  `cbor:"10,keyasint,omitempty"`
+	OK       bool                `cbor:"11,keyasint,omitempty"`
+	// Confirmed is how long ago the platform last confirmed the revision, as
+	// far as the sender knows; zero when it never did.
+	Confirmed   time.Duration      `cbor:"12,keyasint,omitempty"`
+	Quarantined []quarantine.Entry `cbor:"13,keyasint,omitempty"`
+}
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// The kinds of Error.
+const (
+	KindCodec   ErrorKind = "malformed message"
+	KindConnect ErrorKind = "connection failed"
+	KindClosed  ErrorKind = "connection closed"
+	KindTimeout ErrorKind = "no reply in time"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	op   string
+	kind ErrorKind
+	err  error
+}
+
+func newError(op string, kind ErrorKind, err error) *Error {
+	return &Error{op: op, kind: kind, err: err}
+}
+
+// Kind returns the class of the error.
+func (e *Error) Kind() ErrorKind { return e.kind }
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.err == nil {
+		return fmt.Sprintf("control %s: %s", e.op, e.kind)
+	}
+	return fmt.Sprintf("control %s: %s: %v", e.op, e.kind, e.err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+// Decode reads a message.
+func Decode(data []byte) (*Message, error) {
+	var message Message
+	if err := cbor.Unmarshal(data, &message); err != nil {
+		return nil, newError("decode", KindCodec, err)
+	}
+	return &message, nil
+}
+
+// Encode returns the CBOR form of a message.
+func Encode(message *Message) ([]byte, error) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, newError("encode", KindCodec, err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/idempotency"
+)
+
+// TicketPath is where a ticket for a service is had by POST.
+const TicketPath = "/.banyancross/ticket/"
+
+// The headers of answers.
+const (
+	// OutcomeHeader holds the outcome of the call.
+	OutcomeHeader = hop.HeaderPrefix + "Outcome"
+	// ReasonHeader holds the reason of a refusal.
+	ReasonHeader = hop.HeaderPrefix + "Reason"
+	// ReplayedHeader tells that a resend got the answer of an earlier send.
+	ReplayedHeader = hop.HeaderPrefix + "Replayed"
+)
+
+// refusalDocument is the JSON body of a refusal.
+type refusalDocument struct {
+	Outcome string      `json:"outcome"`
+	Reason  call.Reason `json:"reason"`
+}
+
+func statusOf(refusal *call.Refusal) int {
+	switch refusal.Reason() {
+	case call.ReasonUnknownService:
+		return http.StatusNotFound
+	case call.ReasonMalformed, call.ReasonKeyMalformed:
+		return http.StatusBadRequest
+	case call.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case call.ReasonTooDeep:
+		return http.StatusLoopDetected
+	case call.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case call.ReasonKeyExpired, call.ReasonKeyNotOwned, call.ReasonAnswerNotKept:
+		return http.StatusConflict
+	case call.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	if refusal.Outcome() == call.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// writeRefusal answers in place of the upstream.
+func writeRefusal(w http.ResponseWriter, refusal *call.Refusal) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(OutcomeHeader, refusal.Outcome().String())
+	header.Set(ReasonHeader, string(refusal.Reason()))
+	header.Set("Retry-After", strconv.Itoa(int(refusal.RetryAfter().Seconds())))
+	w.WriteHeader(statusOf(refusal))
+	_ = json.NewEncoder(w).Encode(refusalDocument{Outcome: refusal.Outcome().String(), Reason: refusal.Reason()})
+}
+
+// writeAnswer passes the upstream's answer on and tells whether all of it was.
+func writeAnswer(w http.ResponseWriter, answer *hop.Answer) bool {
+	response := answer.Response
+	defer func() { _ = response.Body.Close() }()
+	hop.StripOwn(response.Header)
+	w.Header().Set(OutcomeHeader, call.Answered.String())
+	if answer.Meta.Replayed {
+		w.Header().Set(ReplayedHeader, "true")
+	}
+	return hop.Copy(w, response) == nil
+}
+
+// ticketDocument is the JSON body of a ticket.
+type ticketDocument struct {
+	Key string `json:"idempotency-key"`
+}
+
+// ticket mints a key that names the gate which is now the best choice.
+func (e *Entry) ticket(w http.ResponseWriter, request bunrouter.Request) error {
+	name := request.Param("service")
+	targets := e.directory.Targets(name)
+	if len(targets) == 0 {
+		writeRefusal(w, call.Refuse(call.NotRun, call.ReasonNoUpstream))
+		return nil
+	}
+	c := &session{entry: e, name: name, learned: e.service(name)}
+	target := targets[c.choose(targets)]
+	key, err := idempotency.Mint(target.Upstream(), target.incarnation)
+	if err != nil {
+		var failure *idempotency.Error
+		if errors.As(err, &failure) {
+			writeRefusal(w, call.Refuse(call.NotRun, call.ReasonNotReady))
+		}
+		return nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(keyHeader, key.String())
+	return json.NewEncoder(w).Encode(ticketDocument{Key: key.String()})
+}
--- /dev/null
+++ b/entry/session.go
@@ -0,0 +1,333 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/idempotency"
+	"github.com/banyancross/banyancross/note"
+	"github.com/banyancross/banyancross/retry"
+	"github.com/banyancross/banyancross/routing"
+	"github.com/banyancross/banyancross/totals"
+)
+
+// The headers that callers set.
+const (
+	keyHeader        = "Idempotency-Key"
+	timeoutHeader    = hop.HeaderPrefix + "Timeout"
+	idempotentHeader = hop.HeaderPrefix + "Idempotent"
+	depthHeader      = hop.HeaderPrefix + "Depth"
+)
+
+// expectedAttempt is the time an attempt is given at least.
+const expectedAttempt = 2 * time.Millisecond
+
+// session is one call at the entry node.
+type session struct {
+	entry      *Entry
+	name       string
+	placements []idempotency.Placement
+	service    note.Service
+	learned    *serviceState
+	request    *http.Request
+	body       *replayBody
+	received   time.Time
+	day        string
+	timeout    time.Duration
+	depth      int
+	idempotent bool
+	key        *idempotency.Key
+	revision   uint64
+	attempts   int
+	remote     bool
+	uncertain  bool
+}
+
+// newSession reads a request; the session is usable for counting even when the
+// request is refused.
+func newSession(e *Entry, r *http.Request, entry *note.ServiceEntry, path string, received time.Time) (*session, *call.Refusal) {
+	c := &session{
+		entry: e, name: entry.Name, placements: entry.Placements, service: entry.Service,
+		learned: e.service(entry.Name), received: received,
+		day: received.In(e.location).Format(totals.DayLayout), timeout: entry.Service.Timeout,
+	}
+	c.learned.budget.SetShare(entry.Service.RetryShare)
+	if refusal := c.readHeaders(r); refusal != nil {
+		return c, refusal
+	}
+	if r.ContentLength > entry.Service.MaxBody {
+		return c, call.Refuse(call.NotRun, call.ReasonTooLarge)
+	}
+	return c, c.prepare(r, path)
+}
+
+func (c *session) readHeaders(r *http.Request) *call.Refusal {
+	malformed := call.Refuse(call.NotRun, call.ReasonMalformed)
+	if text := r.Header.Get(timeoutHeader); text != "" {
+		timeout, err := time.ParseDuration(text)
+		if err != nil || timeout <= 0 {
+			return malformed
+		}
+		c.timeout = min(c.timeout, timeout)
+	}
+	if text := r.Header.Get(depthHeader); text != "" {
+		depth, err := strconv.Atoi(text)
+		if err != nil || depth < 0 {
+			return malformed
+		}
+		c.depth = depth
+	}
+	if c.depth > call.MaxDepth {
+		return call.Refuse(call.NotRun, call.ReasonTooDeep)
+	}
+	c.idempotent = c.service.Idempotent(r.Method)
+	if text := r.Header.Get(idempotentHeader); text != "" {
+		idempotent, err := strconv.ParseBool(text)
+		if err != nil {
+			return malformed
+		}
+		c.idempotent = idempotent
+	}
+	text := r.Header.Get(keyHeader)
+	if text == "" || c.idempotent {
+		return nil
+	}
+	key, err := idempotency.Parse(text)
+	if err != nil {
+		return call.Refuse(call.NotRun, call.ReasonKeyMalformed)
+	}
+	c.key = &key
+	return nil
+}
+
+// prepare builds the request that the upstream is to get.
+func (c *session) prepare(r *http.Request, path string) *call.Refusal {
+	target, err := url.ParseRequestURI(path)
+	if err != nil {
+		return call.Refuse(call.NotRun, call.ReasonMalformed)
+	}
+	target.RawQuery = r.URL.RawQuery
+	request := r.Clone(r.Context())
+	request.URL = target
+	hop.StripConnection(request.Header)
+	hop.StripOwn(request.Header)
+	request.Header.Set("X-Forwarded-Prefix", "/"+c.name)
+	appendForwardedFor(request.Header, r.RemoteAddr)
+	request.Trailer = r.Trailer
+	c.request = request
+	if r.Body != nil && r.Body != http.NoBody {
+		c.body = newReplayBody(http.MaxBytesReader(nil, r.Body, c.service.MaxBody))
+	}
+	return nil
+}
+
+func appendForwardedFor(header http.Header, remote string) {
+	host := remote
+	if at := strings.LastIndexByte(remote, ':'); at >= 0 {
+		host = remote[:at]
+	}
+	if earlier := header.Get("X-Forwarded-For"); earlier != "" {
+		host = earlier + ", " + host
+	}
+	header.Set("X-Forwarded-For", host)
+}
+
+// exchange sends the call until it is answered or must not be sent again.
+func (c *session) exchange(ctx context.Context) *hop.Answer {
+	c.learned.budget.Called()
+	if c.key != nil {
+		return c.exchangeKeyed(ctx)
+	}
+	targets := c.targets()
+	answer := hop.Refusal(hop.Meta{}, call.Refuse(call.NotRun, call.ReasonNoUpstream))
+	for len(targets) > 0 {
+		at := c.choose(targets)
+		answer = c.attempt(ctx, targets[at])
+		if answer.Response != nil && !c.unavailable(answer) {
+			return answer
+		}
+		if !c.again(ctx, answer) {
+			break
+		}
+		closeResponse(answer)
+		targets = append(targets[:at:at], targets[at+1:]...)
+	}
+	if answer.Response == nil && c.uncertain {
+		answer.Meta.Outcome = call.Unknown
+	}
+	return answer
+}
+
+// unavailable tells whether an upstream's answer only says that it cannot serve
+// now, which another upstream may be able to.
+func (c *session) unavailable(answer *hop.Answer) bool {
+	return answer.Response.StatusCode == http.StatusServiceUnavailable && c.idempotent
+}
+
+// exchangeKeyed sends the call to the one gate that may run it. Since that gate
+// runs it once at most, an attempt that was lost on the way is repeated.
+func (c *session) exchangeKeyed(ctx context.Context) *hop.Answer {
+	answer := hop.Refusal(hop.Meta{}, call.Refuse(call.Unknown, call.ReasonNoUpstream))
+	for {
+		target, ok := c.entry.directory.Owner(c.key.Owner(c.placements))
+		if !ok || target.service != c.name {
+			return answer
+		}
+		answer = c.attempt(ctx, target)
+		if answer.Response != nil || answer.Meta.Gate {
+			return answer
+		}
+		// The gate's word is missing, and an earlier send may have run.
+		answer.Meta.Outcome = call.Unknown
+		if !c.retryKeyed(ctx, answer) {
+			return answer
+		}
+	}
+}
+
+func (c *session) retryKeyed(ctx context.Context, answer *hop.Answer) bool {
+	lost := answer.Meta.Reason == call.ReasonConnection || answer.Meta.Reason == call.ReasonCut
+	if !lost || c.attempts >= retry.MaxAttempts || ctx.Err() != nil {
+		return false
+	}
+	return c.rewind() && c.learned.budget.Spend()
+}
+
+// again tells whether to try another upstream after answer.
+func (c *session) again(ctx context.Context, answer *hop.Answer) bool {
+	meta := answer.Meta
+	if answer.Response != nil {
+		meta.Outcome = call.Unknown
+		meta.Reason = call.ReasonRejected
+	}
+	remaining := c.timeout - c.entry.clock.Now().Sub(c.received)
+	allowed := retry.Allowed(retry.Attempt{
+		Number: c.attempts, Outcome: meta.Outcome, Reason: meta.Reason,
+		Idempotent: c.idempotent, Replayable: c.body == nil || c.body.replayable(),
+		Depth: c.depth, Remaining: remaining, Expected: expectedAttempt,
+	})
+	if !allowed || ctx.Err() != nil {
+		return false
+	}
+	return c.learned.budget.Spend() && c.rewind()
+}
+
+func (c *session) rewind() bool {
+	return c.body == nil || c.body.rewind()
+}
+
+func closeResponse(answer *hop.Answer) {
+	if answer.Response != nil {
+		_ = answer.Response.Body.Close()
+	}
+}
+
+// targets returns the upstreams to choose from under the service's preference.
+func (c *session) targets() []Target {
+	all := c.entry.directory.Targets(c.name)
+	if c.service.Preference != note.PreferLocal {
+		return all
+	}
+	var local []Target
+	for _, target := range all {
+		if !target.candidate.Remote() {
+			local = append(local, target)
+		}
+	}
+	if len(local) == 0 {
+		return all
+	}
+	return local
+}
+
+func (c *session) choose(targets []Target) int {
+	candidates := make([]routing.Candidate, len(targets))
+	for i, target := range targets {
+		candidates[i] = target.candidate
+	}
+	return c.learned.policy.Choose(c.entry.clock.Now(), candidates)
+}
+
+// attempt sends the call to one target and learns from how it ends.
+func (c *session) attempt(ctx context.Context, target Target) *hop.Answer {
+	c.attempts++
+	c.remote = c.remote || target.candidate.Remote()
+	ctx, span := c.entry.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("upstream", target.Upstream()), attribute.Int("number", c.attempts)))
+	defer span.End()
+	request := c.request.WithContext(ctx)
+	request.Header = c.request.Header.Clone()
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
+	request.Body = http.NoBody
+	if c.body != nil {
+		request.Body = c.body.attempt()
+	}
+	started := c.entry.clock.Now()
+	c.learned.policy.Started(started, target.Upstream())
+	answer := c.entry.sender.Send(ctx, target, c.meta(started, target), request)
+	c.learn(started, target, answer)
+	span.SetAttributes(attribute.String("outcome", answer.Meta.Outcome.String()))
+	return answer
+}
+
+func (c *session) meta(now time.Time, target Target) hop.Meta {
+	meta := hop.Meta{
+		ID:          uuid.NewString(),
+		Service:     c.name,
+		Upstream:    target.Upstream(),
+		Remaining:   c.timeout - now.Sub(c.received),
+		Idempotent:  c.idempotent,
+		Received:    c.received,
+		Depth:       c.depth,
+		Revision:    c.revision,
+		Day:         c.day,
+		Fingerprint: c.fingerprint(),
+	}
+	if c.key != nil {
+		meta.Key = c.key.String()
+	}
+	return meta
+}
+
+// fingerprint identifies the request across its resends, by what is known
+// before its body is read.
+func (c *session) fingerprint() uint64 {
+	digest := xxhash.New()
+	parts := []string{
+		c.name, c.request.Method, c.request.URL.RequestURI(),
+		strconv.FormatInt(c.request.ContentLength, 10),
+	}
+	for _, part := range parts {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
+
+func (c *session) learn(started time.Time, target Target, answer *hop.Answer) {
+	now := c.entry.clock.Now()
+	failed := answer.Response != nil && answer.Response.StatusCode >= http.StatusInternalServerError
+	c.learned.policy.Finished(now, target.Upstream(), routing.Result{
+		Elapsed: now.Sub(started), Outcome: answer.Meta.Outcome, Reason: answer.Meta.Reason,
+		Failed: failed, Load: answer.Meta.Load,
+	})
+	lost := !answer.Meta.Gate && answer.Meta.Outcome == call.Unknown
+	if lost || answer.Meta.Ran {
+		c.uncertain = c.uncertain || answer.Meta.Reason != call.ReasonRejected
+	}
+	c.entry.counter.Attempted(c.day, c.name, totals.Attempt{
+		Ran: answer.Meta.Ran, Uncertain: lost, Retry: c.attempts > 1,
+	})
+}
--- /dev/null
+++ b/hop/client.go
@@ -0,0 +1,115 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/banyancross/banyancross/call"
+)
+
+const (
+	idleTimeout   = 90 * time.Second
+	dialTimeout   = time.Second
+	pingAfter     = 5 * time.Second
+	pingTimeout   = 5 * time.Second
+	maxHeaderSize = 64 << 10
+)
+
+// Dial opens a connection to another node.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client sends attempts to other nodes; it is safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+}
+
+// NewClient returns a Client that connects with dial, or directly when dial is
+// nil.
+func NewClient(dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &Client{transport: &http.Transport{
+		DialContext:            dial,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderSize,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:               pingAfter,
+			PingTimeout:                   pingTimeout,
+			MaxReceiveBufferPerConnection: 4 << 20,
+			MaxReceiveBufferPerStream:     512 << 10,
+		},
+	}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Do sends one attempt to the node at address. The answer is never nil; it is
+// NotRun when no connection to the node was obtained.
+func (c *Client) Do(ctx context.Context, address string, meta Meta, request *http.Request) *Answer {
+	text, err := encode(meta)
+	if err != nil {
+		return Refusal(meta, call.Refuse(call.NotRun, call.ReasonMalformed))
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	outgoing := request.Clone(httptrace.WithClientTrace(ctx, trace))
+	outgoing.URL = &url.URL{
+		Scheme: "http", Host: address, Path: request.URL.Path,
+		RawPath: request.URL.RawPath, RawQuery: request.URL.RawQuery,
+	}
+	outgoing.RequestURI = ""
+	outgoing.GetBody = nil
+	// The map is shared because net/http fills it when the body ends.
+	outgoing.Trailer = request.Trailer
+	outgoing.Header.Set(callHeader, text)
+	response, err := c.transport.RoundTrip(outgoing)
+	if err != nil {
+		return Refusal(meta, failure(ctx, connected, err))
+	}
+	return read(meta, response)
+}
+
+// failure explains an attempt without an answer. GotConn may run on another
+// goroutine only before RoundTrip returns, so connected is settled here.
+func failure(ctx context.Context, connected bool, err error) *call.Refusal {
+	outcome := call.Unknown
+	if !connected {
+		outcome = call.NotRun
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		return call.Refuse(outcome, call.ReasonDeadline)
+	case ctx.Err() != nil:
+		return call.Refuse(outcome, call.ReasonCancelled)
+	}
+	return call.Refuse(outcome, call.ReasonConnection)
+}
+
+// read checks that the answer belongs to the attempt.
+func read(meta Meta, response *http.Response) *Answer {
+	var found AnswerMeta
+	err := decode(response.Header.Get(answerHeader), &found)
+	if err != nil || found.ID != meta.ID {
+		_ = response.Body.Close()
+		return Refusal(meta, call.Refuse(call.Unknown, call.ReasonCut))
+	}
+	response.Header.Del(answerHeader)
+	if found.Outcome != call.Answered {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 4096))
+		_ = response.Body.Close()
+		return &Answer{Meta: found}
+	}
+	return &Answer{Meta: found, Response: response}
+}
--- /dev/null
+++ b/hop/meta.go
@@ -0,0 +1,106 @@
+package hop
+
+import (
+	"encoding/base64"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/banyancross/banyancross/call"
+)
+
+// Header names between nodes.
+const (
+	callHeader   = "Banyancross-Call"
+	answerHeader = "Banyancross-Answer"
+	// HeaderPrefix begins the names of all headers of this system.
+	HeaderPrefix = "Banyancross-"
+)
+
+// Meta is what an entry node tells a gate about an attempt.
+type Meta struct {
+	ID          string        `cbor:"1,keyasint"`
+	Service     string        `cbor:"2,keyasint"`
+	Upstream    string        `cbor:"3,keyasint"`
+	Remaining   time.Duration `cbor:"4,keyasint"`
+	Idempotent  bool          `cbor:"5,keyasint,omitempty"`
+	Key         string        `cbor:"6,keyasint,omitempty"`
+	Received    time.Time     `cbor:"7,keyasint"`
+	Depth       int           `cbor:"8,keyasint,omitempty"`
+	Revision    uint64        `cbor:"9,keyasint"`
+	Day         string        `cbor:"10,keyasint"`
+	Fingerprint uint64        `cbor:"11,keyasint,omitempty"`
+}
+
+// AnswerMeta is what a gate tells the entry node about an answer.
+type AnswerMeta struct {
+	ID       string       `cbor:"1,keyasint"`
+	Outcome  call.Outcome `cbor:"2,keyasint"`
+	Reason   call.Reason  `cbor:"3,keyasint,omitempty"`
+	Load     *call.Load   `cbor:"4,keyasint,omitempty"`
+	Revision uint64       `cbor:"5,keyasint"`
+	Ran      bool         `cbor:"6,keyasint,omitempty"`
+	Replayed bool         `cbor:"7,keyasint,omitempty"`
+	// Gate tells that a gate gave the answer, not the hop on the way to it.
+	Gate bool `cbor:"8,keyasint,omitempty"`
+}
+
+// Answer is a gate's answer; Response is nil unless the outcome is Answered.
+type Answer struct {
+	Meta     AnswerMeta
+	Response *http.Response
+}
+
+// Refusal builds the answer to an attempt that got none from the upstream.
+func Refusal(meta Meta, refusal *call.Refusal) *Answer {
+	return &Answer{Meta: AnswerMeta{ID: meta.ID, Outcome: refusal.Outcome(), Reason: refusal.Reason()}}
+}
+
+func encode(value any) (string, error) {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return "", newError("encode", KindCodec, err)
+	}
+	return base64.RawURLEncoding.EncodeToString(data), nil
+}
+
+func decode(text string, target any) error {
+	data, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return newError("decode", KindCodec, err)
+	}
+	if err := cbor.Unmarshal(data, target); err != nil {
+		return newError("decode", KindCodec, err)
+	}
+	return nil
+}
+
+// connectionHeaders are those that RFC 9110 section 7.6.1 confines to one
+// connection.
+var connectionHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripConnection removes the headers that belong to one connection only.
+func StripConnection(header http.Header) {
+	for _, line := range header["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+// StripOwn removes the headers of this system.
+func StripOwn(header http.Header) {
+	for name := range header {
+		if strings.HasPrefix(name, HeaderPrefix) {
+			delete(header, name)
+		}
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,360 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gopkg.in/tomb.v2"
+
+	"github.com/banyancross/banyancross/control"
+	"github.com/banyancross/banyancross/entry"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/membership"
+	"github.com/banyancross/banyancross/note"
+	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/publishing"
+	"github.com/banyancross/banyancross/quarantine"
+	"github.com/banyancross/banyancross/routing"
+	"github.com/banyancross/banyancross/settings"
+	"github.com/banyancross/banyancross/totals"
+	"github.com/banyancross/banyancross/upstream"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of Error.
+const (
+	KindListen Kind = "listen"
+	KindStop   Kind = "stop"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	op   string
+	kind Kind
+	err  error
+}
+
+// Kind returns the class of the error.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("node %s: %s: %v", e.op, e.kind, e.err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+// Clock tells the time and waits.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	publishing.Store
+	Watch(ctx context.Context, key string, last platform.Entry) (platform.Entry, error)
+	Calls() uint64
+}
+
+// Dial opens a connection to another node.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Listen binds an address.
+type Listen func(address string) (net.Listener, error)
+
+// Node is the process beside a backend server.
+type Node struct {
+	settings    *settings.Settings
+	clock       Clock
+	logger      log.Logger
+	store       Store
+	dial        Dial
+	bind        Listen
+	rng         *lockedRand
+	newPolicy   func() routing.Policy
+	observe     func(entry.Observation)
+	tracer      trace.Tracer
+	metrics     http.Handler
+	incarnation string
+
+	inForce    *note.InForce
+	view       *membership.View
+	peers      *control.Peers
+	hops       *hop.Client
+	gate       *upstream.Gate
+	entry      *entry.Entry
+	counter    *totals.Counter
+	publisher  *publishing.Publisher
+	quarantine *quarantine.Quarantine
+	links      *links
+	directory  directory
+	relay      *relay
+	servers    []*http.Server
+	tomb       tomb.Tomb
+
+	mu       sync.Mutex
+	syncedAt time.Time
+	stopping bool
+}
+
+// Option configures a Node.
+type Option func(*Node)
+
+// WithClock sets the clock.
+func WithClock(clock Clock) Option { return func(n *Node) { n.clock = clock } }
+
+// WithLogger sets where log lines go.
+func WithLogger(logger log.Logger) Option { return func(n *Node) { n.logger = logger } }
+
+// WithStore sets the client of the platform.
+func WithStore(store Store) Option { return func(n *Node) { n.store = store } }
+
+// WithDial sets how connections to other nodes are opened.
+func WithDial(dial Dial) Option { return func(n *Node) { n.dial = dial } }
+
+// WithListen sets how addresses are bound.
+func WithListen(bind Listen) Option { return func(n *Node) { n.bind = bind } }
+
+// WithSeed sets the seed of all random choices but identities.
+func WithSeed(seed uint64) Option {
+	return func(n *Node) { n.rng = newLockedRand(seed) }
+}
+
+// WithPolicy sets how upstreams are chosen.
+func WithPolicy(newPolicy func() routing.Policy) Option {
+	return func(n *Node) { n.newPolicy = newPolicy }
+}
+
+// WithObserver calls observe after each call that this node received.
+func WithObserver(observe func(entry.Observation)) Option {
+	return func(n *Node) { n.observe = observe }
+}
+
+// WithTracer sets the tracer of the spans.
+func WithTracer(tracer trace.Tracer) Option { return func(n *Node) { n.tracer = tracer } }
+
+// WithMetrics sets the handler of the operators' /metrics.
+func WithMetrics(metrics http.Handler) Option { return func(n *Node) { n.metrics = metrics } }
+
+// systemClock is the clock of the operating system.
+type systemClock struct{}
+
+func (systemClock) Now() time.Time                         { return time.Now() }
+func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// New binds the addresses of the settings and starts the node.
+func New(s *settings.Settings, options ...Option) (*Node, error) {
+	n := &Node{
+		settings:    s,
+		clock:       systemClock{},
+		logger:      log.NewNopLogger(),
+		bind:        func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		rng:         newLockedRand(rand.Uint64()),
+		observe:     func(entry.Observation) {},
+		tracer:      noop.NewTracerProvider().Tracer(""),
+		metrics:     http.NotFoundHandler(),
+		incarnation: uuid.NewString()[:8],
+		inForce:     note.NewInForce(),
+		links:       newLinks(),
+	}
+	n.newPolicy = func() routing.Policy { return routing.NewEstimating(n.rng.fork()) }
+	for _, option := range options {
+		option(n)
+	}
+	if n.store == nil {
+		n.store = platform.NewClient(s.Platform())
+	}
+	n.logger = log.With(n.logger, "host", s.Host(), "incarnation", n.incarnation)
+	n.assemble()
+	if err := n.listen(); err != nil {
+		n.Kill()
+		return nil, err
+	}
+	n.start()
+	_ = level.Info(n.logger).Log("event", "started", "failure-domain", s.FailureDomain(),
+		"callers", s.Callers(), "nodes", s.Nodes())
+	return n, nil
+}
+
+// assemble builds the parts and connects them.
+func (n *Node) assemble() {
+	now := n.clock.Now()
+	self := membership.Member{
+		Host: n.settings.Host(), Incarnation: n.incarnation, Started: now.UnixNano(),
+		FailureDomain: n.settings.FailureDomain(), Region: n.settings.Region(), Address: n.settings.Nodes(),
+	}
+	n.view = membership.NewView(now, self, n.rng.fork())
+	n.counter = totals.NewCounter(n.settings.Host(), n.incarnation)
+	n.quarantine = quarantine.New(quarantine.WithSpread(n.spreadQuarantine))
+	n.gate = upstream.NewGate(n.clock, n.inForce, n.counter, n.incarnation,
+		upstream.WithNotify(n.upstreamChanged), upstream.WithQuarantine(n.quarantine))
+	n.hops = hop.NewClient(hop.Dial(n.dial))
+	n.peers = control.NewPeers(n.handle, control.Dial(n.dial))
+	n.publisher = publishing.New(n.store, n.clock)
+	n.relay = newRelay()
+	n.entry = entry.New(n.clock, n, n, n.counter, entry.WithPolicy(n.newPolicy),
+		entry.WithLocation(n.settings.Location()), entry.WithObserver(n.observe), entry.WithTracer(n.tracer))
+}
+
+// listen binds the four addresses.
+func (n *Node) listen() error {
+	nodes := http.NewServeMux()
+	nodes.Handle(control.Path, n.peers)
+	nodes.Handle("/", hop.Handler(n.tracedGate()))
+	announcements := http.NewServeMux()
+	announcements.Handle("PUT "+upstream.AnnouncementPath, upstream.AnnouncementHandler(n.gate))
+	bindings := []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Nodes(), nodes},
+		{n.settings.Callers(), n.entry},
+		{n.settings.Upstream(), announcements},
+		{n.settings.Operators(), n.operatorsHandler()},
+	}
+	for _, binding := range bindings {
+		listener, err := n.bind(binding.address)
+		if err != nil {
+			return &Error{op: "start", kind: KindListen, err: err}
+		}
+		server := newServer(binding.handler)
+		n.servers = append(n.servers, server)
+		n.tomb.Go(func() error {
+			_ = server.Serve(listener)
+			return nil
+		})
+	}
+	return nil
+}
+
+const (
+	readHeaderTimeout    = 5 * time.Second
+	idleTimeout          = 2 * time.Minute
+	maxHeaderBytes       = 64 << 10
+	maxConcurrentStreams = 2000
+)
+
+func newServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          discardLog,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxConcurrentStreams,
+			MaxReceiveBufferPerConnection: 4 << 20,
+			MaxReceiveBufferPerStream:     512 << 10,
+		},
+	}
+}
+
+// start runs the loops.
+func (n *Node) start() {
+	n.every(probeInterval, n.probe)
+	n.every(expireInterval, n.expire)
+	n.every(reportInterval, n.report)
+	n.every(writeInterval, n.relayWrite)
+	n.every(retryLostInterval, n.retryLost)
+	n.tomb.Go(n.join)
+	n.tomb.Go(n.watchConfiguration)
+	n.tomb.Go(n.followConfiguration)
+	n.tomb.Go(n.keepTenure)
+	n.tomb.Go(n.probeUpstream)
+}
+
+// every runs do with a jittered pause until the node stops.
+func (n *Node) every(interval time.Duration, do func(ctx context.Context)) {
+	n.tomb.Go(func() error {
+		for n.sleep(n.rng.jitter(interval)) {
+			do(n.context())
+		}
+		return nil
+	})
+}
+
+// sleep waits and tells whether the node still runs.
+func (n *Node) sleep(d time.Duration) bool {
+	select {
+	case <-n.tomb.Dying():
+		return false
+	case <-n.clock.After(d):
+		return true
+	}
+}
+
+func (n *Node) context() context.Context {
+	//nolint:staticcheck // tomb asks for nil to give the context that ends with it.
+	return n.tomb.Context(nil)
+}
+
+// Stop leaves the fleet gracefully: no new calls, then the end of those in
+// progress, then the last counts. It gives up when ctx ends and says what was
+// lost.
+func (n *Node) Stop(ctx context.Context) error {
+	n.mu.Lock()
+	n.stopping = true
+	n.mu.Unlock()
+	idle := n.gate.Leave()
+	n.upstreamChanged(membership.Leaving)
+	_ = level.Info(n.logger).Log("event", "leaving")
+	var err error
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		err = &Error{op: "stop", kind: KindStop, err: fmt.Errorf("%d calls in progress were cut", n.gate.Load().Running)}
+	}
+	// Shutdown waits for the calls that this node received as an entry node.
+	for _, server := range n.servers[1:] {
+		if shutdownErr := server.Shutdown(ctx); shutdownErr != nil && err == nil {
+			err = &Error{op: "stop", kind: KindStop, err: shutdownErr}
+		}
+	}
+	n.releaseTenure(ctx)
+	n.counter.Finish()
+	n.report(ctx)
+	n.relayWrite(ctx)
+	left := n.view.UpdateSelf(func(m *membership.Member) { m.Status = membership.Left })
+	n.spread(ctx, control.Message{Kind: control.News, Members: []membership.Member{left}})
+	n.Kill()
+	return err
+}
+
+// Kill ends the node at once, as a crash would.
+func (n *Node) Kill() {
+	n.tomb.Kill(nil)
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	n.peers.Close()
+	n.hops.Close()
+	if n.tomb.Alive() || len(n.servers) > 0 {
+		_ = n.tomb.Wait()
+	}
+	_ = level.Info(n.logger).Log("event", "stopped")
+}
+
+// Incarnation returns the identity of this run of the node.
+func (n *Node) Incarnation() string { return n.incarnation }
+
+// Host returns the name of the host.
+func (n *Node) Host() string { return n.settings.Host() }
+
+// Running returns how many calls run at this node's upstream.
+func (n *Node) Running() int { return int(n.gate.Load().Running) }
--- /dev/null
+++ b/routing/baseline.go
@@ -0,0 +1,146 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// unobserved supplies the methods of a Policy that learns nothing.
+type unobserved struct{}
+
+// Started implements Policy.
+func (unobserved) Started(time.Time, string) {}
+
+// Finished implements Policy.
+func (unobserved) Finished(time.Time, string, Result) {}
+
+// Random chooses every candidate with the same probability.
+type Random struct {
+	unobserved
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// NewRandom returns a Random policy drawing from rng.
+func NewRandom(rng *rand.Rand) *Random { return &Random{rng: rng} }
+
+// Choose implements Policy.
+func (p *Random) Choose(_ time.Time, candidates []Candidate) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rng.IntN(len(candidates))
+}
+
+// RoundRobin chooses candidates in turn.
+type RoundRobin struct {
+	unobserved
+	mu   sync.Mutex
+	next int
+}
+
+// NewRoundRobin returns a RoundRobin policy that begins at offset.
+func NewRoundRobin(offset int) *RoundRobin { return &RoundRobin{next: offset} }
+
+// Choose implements Policy.
+func (p *RoundRobin) Choose(_ time.Time, candidates []Candidate) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	return p.next % len(candidates)
+}
+
+// LeastReported chooses the candidate whose last reported load is the lowest.
+type LeastReported struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	reports map[string]float64
+}
+
+// NewLeastReported returns a LeastReported policy that breaks ties from rng.
+func NewLeastReported(rng *rand.Rand) *LeastReported {
+	return &LeastReported{rng: rng, reports: map[string]float64{}}
+}
+
+// Choose implements Policy.
+func (p *LeastReported) Choose(_ time.Time, candidates []Candidate) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lowest(p.rng, candidates, func(c Candidate) float64 { return p.reports[c.name] })
+}
+
+// Started implements Policy.
+func (p *LeastReported) Started(time.Time, string) {}
+
+// Finished implements Policy.
+func (p *LeastReported) Finished(_ time.Time, name string, result Result) {
+	if result.Load == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports[name] = float64(result.Load.Running + result.Load.Waiting)
+}
+
+// weightPerLoadUnit is lbnamed's increment for a host without logins, which
+// has a server factor of ten.
+const weightPerLoadUnit = 30.0
+
+// Participation orders candidates by weight over participation factor and
+// raises the weight of the chosen one, as the lbnamed README describes; the
+// factor is the upstream's slots.
+type Participation struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	weights map[string]float64
+}
+
+// NewParticipation returns a Participation policy that breaks ties from rng.
+func NewParticipation(rng *rand.Rand) *Participation {
+	return &Participation{rng: rng, weights: map[string]float64{}}
+}
+
+// Choose implements Policy.
+func (p *Participation) Choose(_ time.Time, candidates []Candidate) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	chosen := lowest(p.rng, candidates, func(c Candidate) float64 {
+		return p.weights[c.name] / float64(max(c.slots, 1))
+	})
+	p.weights[candidates[chosen].name] += weightPerLoadUnit
+	return chosen
+}
+
+// Started implements Policy.
+func (p *Participation) Started(time.Time, string) {}
+
+// Finished implements Policy.
+func (p *Participation) Finished(_ time.Time, name string, result Result) {
+	if result.Load == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.weights[name] = weightPerLoadUnit * float64(result.Load.Running+result.Load.Waiting)
+}
+
+// lowest returns the index of a candidate with the least value, drawing
+// between equals.
+func lowest(rng *rand.Rand, candidates []Candidate, value func(Candidate) float64) int {
+	best := 0
+	bestValue := value(candidates[0])
+	equals := 1
+	for i := 1; i < len(candidates); i++ {
+		v := value(candidates[i])
+		switch {
+		case v < bestValue:
+			best, bestValue, equals = i, v, 1
+		case v == bestValue:
+			equals++
+			if rng.IntN(equals) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/totals/day.go
@@ -0,0 +1,109 @@
+package totals
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of Error.
+const (
+	KindCodec Kind = "malformed value"
+	KindDay   Kind = "malformed day"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	op   string
+	kind Kind
+	err  error
+}
+
+// Kind returns the class of the error.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("totals %s: %s: %v", e.op, e.kind, e.err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+// Day holds the reports of one failure domain's incarnations.
+type Day struct {
+	FailureDomain string   `cbor:"1,keyasint"`
+	Reports       []Report `cbor:"2,keyasint"`
+}
+
+// Merge takes a report and tells whether it was news.
+func (d *Day) Merge(report Report) bool {
+	i, ok := slices.BinarySearchFunc(d.Reports, report.Incarnation, func(r Report, incarnation string) int {
+		return cmp.Compare(r.Incarnation, incarnation)
+	})
+	if !ok {
+		d.Reports = slices.Insert(d.Reports, i, report)
+		return true
+	}
+	if report.Sequence <= d.Reports[i].Sequence {
+		return false
+	}
+	d.Reports[i] = report
+	return true
+}
+
+// MergeDay takes all reports of another value of the same day and tells whether
+// there was news.
+func (d *Day) MergeDay(other Day) bool {
+	changed := false
+	for _, report := range other.Reports {
+		changed = d.Merge(report) || changed
+	}
+	return changed
+}
+
+// Clone returns a copy that shares no reports slice.
+func (d *Day) Clone() Day {
+	return Day{FailureDomain: d.FailureDomain, Reports: slices.Clone(d.Reports)}
+}
+
+// Encode returns the CBOR form.
+func (d *Day) Encode() ([]byte, error) { return encode(d) }
+
+// DecodeDay reads a Day; no data is the empty day.
+func DecodeDay(data []byte) (Day, error) {
+	var d Day
+	if len(data) == 0 {
+		return d, nil
+	}
+	err := decode(data, &d)
+	return d, err
+}
+
+func encode(value any) ([]byte, error) {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return nil, &Error{op: "encode", kind: KindCodec, err: err}
+	}
+	return data, nil
+}
+
+func decode(data []byte, target any) error {
+	if err := cbor.Unmarshal(data, target); err != nil {
+		return &Error{op: "decode", kind: KindCodec, err: err}
+	}
+	return nil
+}
+
+// End returns when the named day ends in the location.
+func End(day string, location *time.Location) (time.Time, error) {
+	start, err := time.ParseInLocation(DayLayout, day, location)
+	if err != nil {
+		return time.Time{}, &Error{op: "parse", kind: KindDay, err: err}
+	}
+	return start.AddDate(0, 0, 1), nil
+}
