idempotency, publishing, upstream, deployment: prove at most once and true not-run

Cause: nothing yet checked the promises of the thin path. Reading net/http found that a call with a key and no body is repeated by the transport, and that a round trip that was given up can still be written afterwards. Ruled out: net/http repeats of calls with a body, which it cannot recreate.

--- a/call/call.go
+++ b/call/call.go
@@ -51,6 +51,7 @@
 	ReasonRejected       Reason = "rejected"
 	ReasonNotReady       Reason = "not-ready"
 	ReasonKeyMalformed   Reason = "key-malformed"
+	ReasonKeyRequired    Reason = "key-required"
 	ReasonKeyExpired     Reason = "key-expired"
 	ReasonKeyNotOwned    Reason = "key-not-owned"
 	ReasonKeyReused      Reason = "key-reused"
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -38,6 +38,8 @@
 		return http.StatusNotFound
 	case call.ReasonMalformed, call.ReasonKeyMalformed:
 		return http.StatusBadRequest
+	case call.ReasonKeyRequired:
+		return http.StatusPreconditionRequired
 	case call.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case call.ReasonTooDeep:
--- a/entry/session.go
+++ b/entry/session.go
@@ -100,8 +100,18 @@
 		}
 		c.idempotent = idempotent
 	}
-	text := r.Header.Get(keyHeader)
-	if text == "" || c.idempotent {
+	if c.idempotent {
+		return nil
+	}
+	return c.readKey(r.Header.Get(keyHeader))
+}
+
+// readKey reads the key of a call that may run once only.
+func (c *session) readKey(text string) *call.Refusal {
+	if text == "" && c.service.RequireKey {
+		return call.Refuse(call.NotRun, call.ReasonKeyRequired)
+	}
+	if text == "" {
 		return nil
 	}
 	key, err := idempotency.Parse(text)
--- a/idempotency/records.go
+++ b/idempotency/records.go
@@ -138,7 +138,7 @@
 	if known, ok := r.records[text]; ok {
 		return r.again(known, request)
 	}
-	if refusal := r.check(request.Key); refusal != nil {
+	if refusal := r.check(now, request.Key); refusal != nil {
 		return nil, false, refusal
 	}
 	if len(r.records) >= r.capacity {
@@ -174,13 +174,17 @@
 
 // check refuses keys that this incarnation must not run. None of them can be
 // called not-run, because another incarnation may have run them.
-func (r *Records) check(key Key) *call.Refusal {
+func (r *Records) check(now time.Time, key Key) *call.Refusal {
 	if r.stopped {
 		return call.Refuse(call.Unknown, call.ReasonLeaving)
 	}
 	if key.minted.Before(r.floor) {
 		return call.Refuse(call.Unknown, call.ReasonKeyExpired)
 	}
+	if key.minted.After(now.Add(r.retention)) {
+		// A key from far in the future would be remembered for as long.
+		return call.Refuse(call.Unknown, call.ReasonKeyMalformed)
+	}
 	if key.Ticket() {
 		if key.upstream != r.upstream || key.incarnation != r.incarnation {
 			return call.Refuse(call.Unknown, call.ReasonKeyNotOwned)
--- a/membership/contacts.go
+++ b/membership/contacts.go
@@ -7,12 +7,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// ring returns the members that may be alive in the failure domain, ordered by
-// a hash of their hosts, so that neighbours are spread over racks.
-func ring(members []Member, failureDomain string) []Member {
+// ring returns the members that may be alive in the failure domain and the one
+// whose host is always, ordered by a hash of their hosts, so that neighbours
+// are spread over racks.
+func ring(members []Member, failureDomain, always string) []Member {
 	var found []Member
 	for _, member := range members {
-		if member.FailureDomain == failureDomain && member.Status <= Suspect {
+		if member.FailureDomain == failureDomain && (member.Status <= Suspect || member.Host == always) {
 			found = append(found, member)
 		}
 	}
@@ -27,7 +28,7 @@
 // other failure domain.
 func (s *Snapshot) Contacts(self Member) []Member {
 	var contacts []Member
-	own := ring(s.members, self.FailureDomain)
+	own := ring(s.members, self.FailureDomain, self.Host)
 	at := slices.IndexFunc(own, func(m Member) bool { return m.Host == self.Host })
 	if at < 0 {
 		return nil
@@ -39,7 +40,7 @@
 		if failureDomain == self.FailureDomain {
 			continue
 		}
-		other := ring(s.members, failureDomain)
+		other := ring(s.members, failureDomain, "")
 		if len(other) > 0 {
 			contacts = append(contacts, other[at%len(other)])
 		}
@@ -50,7 +51,7 @@
 // Relays returns the count members of the failure domain that speak for it to
 // the platform.
 func (s *Snapshot) Relays(failureDomain string, count int) []Member {
-	own := ring(s.members, failureDomain)
+	own := ring(s.members, failureDomain, "")
 	return own[:min(count, len(own))]
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -90,15 +91,36 @@
 	}
 }
 
-// spread sends a message to every contact.
+// spread sends a message to every contact without waiting.
 func (n *Node) spread(ctx context.Context, message control.Message) {
+	for _, address := range n.addressed(&message) {
+		go func() { _ = n.peers.Send(ctx, address, message) }()
+	}
+}
+
+// spreadNow sends a message to every contact and waits until it is written.
+func (n *Node) spreadNow(ctx context.Context, message control.Message) {
+	var group sync.WaitGroup
+	for _, address := range n.addressed(&message) {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			_ = n.peers.Send(ctx, address, message)
+		}()
+	}
+	group.Wait()
+}
+
+// addressed completes the message and returns the contacts' addresses.
+func (n *Node) addressed(message *control.Message) []string {
 	base := n.message(message.Kind)
 	message.From, message.Revision = base.From, base.Revision
 	message.Digest, message.Confirmed = base.Digest, base.Confirmed
-	self := n.view.Self()
-	for _, contact := range n.view.Snapshot().Contacts(self) {
-		go func() { _ = n.peers.Send(ctx, contact.Address, message) }()
+	var addresses []string
+	for _, contact := range n.view.Snapshot().Contacts(n.view.Self()) {
+		addresses = append(addresses, contact.Address)
 	}
+	return addresses
 }
 
 // probe pings the next contacts.
--- a/node/node.go
+++ b/node/node.go
@@ -331,7 +331,9 @@
 	n.report(ctx)
 	n.relayWrite(ctx)
 	left := n.view.UpdateSelf(func(m *membership.Member) { m.Status = membership.Left })
-	n.spread(ctx, control.Message{Kind: control.News, Members: []membership.Member{left}})
+	n.spreadNow(ctx, control.Message{Kind: control.News, Members: []membership.Member{left}})
+	// The last answers may still be on their way to other nodes.
+	_ = n.servers[0].Shutdown(ctx)
 	n.Kill()
 	return err
 }
--- a/note/note.go
+++ b/note/note.go
@@ -57,6 +57,7 @@
 	IdempotentMethods   []string `toml:"idempotent-methods"`
 	Preference          string   `toml:"preference"`
 	RejectStatuses      []int    `toml:"reject-statuses"`
+	RequireKey          bool     `toml:"require-key"`
 }
 
 type upstreamDocument struct {
@@ -125,6 +126,7 @@
 		return entry, p.invalid("service name %q is not in kebab case", []any{name}, "service", name)
 	}
 	service := DefaultService()
+	service.RequireKey = doc.RequireKey
 	if doc.Timeout != "" {
 		timeout, err := time.ParseDuration(doc.Timeout)
 		if err != nil || timeout <= 0 || timeout > maxTimeout {
--- a/note/state.go
+++ b/note/state.go
@@ -41,6 +41,7 @@
 	IdempotentMethods   []string      `cbor:"8,keyasint"`
 	Preference          string        `cbor:"9,keyasint"`
 	RejectStatuses      []int         `cbor:"10,keyasint"`
+	RequireKey          bool          `cbor:"11,keyasint,omitempty"`
 }
 
 // DefaultService returns what holds for a service whose note is silent.
--- /dev/null
+++ b/publishing/publisher_test.go
@@ -0,0 +1,191 @@
+package publishing_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/note"
+	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/publishing"
+)
+
+func TestPublishing(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "publishing")
+}
+
+// faultyStore is a store whose calls fail, and whose writes take effect while
+// their answers are lost, at random.
+type faultyStore struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	faults  float64
+	value   []byte
+	version uint64
+}
+
+func (s *faultyStore) Get(context.Context, string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rng.Float64() < s.faults {
+		return platform.Entry{}, fault(platform.KindUnavailable)
+	}
+	return platform.NewEntry(s.value, s.version), nil
+}
+
+func (s *faultyStore) Put(_ context.Context, _ string, value []byte, version uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	draw := s.rng.Float64()
+	if draw < s.faults/2 {
+		return fault(platform.KindUnknown) // lost before it took effect
+	}
+	if s.version != version {
+		return fault(platform.KindConflict)
+	}
+	s.version++
+	s.value = value
+	if draw < s.faults {
+		return fault(platform.KindUnknown) // lost afterwards
+	}
+	return nil
+}
+
+func fault(kind platform.Kind) error { return platform.NewError("test", kind, publishing.Key, nil) }
+
+// quickClock never waits.
+type quickClock struct{}
+
+func (quickClock) Now() time.Time { return time.UnixMilli(1_800_000_000_000) }
+func (quickClock) After(time.Duration) <-chan time.Time {
+	ready := make(chan time.Time, 1)
+	ready <- time.Time{}
+	return ready
+}
+
+// history is the specification: a revision, and the revision that last changed
+// each of two entries.
+type history struct {
+	revision uint64
+	changed  [2]uint64
+}
+
+type publishInput struct {
+	entry int
+	base  uint64
+}
+
+type publishOutput struct {
+	kind     publishing.Kind // "" when published
+	revision uint64
+}
+
+func publishModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{history{}} },
+		Step: func(state, input, output any) []any {
+			h, in, out := state.(history), input.(publishInput), output.(publishOutput)
+			clash := h.changed[in.entry] > in.base
+			next := h
+			next.revision++
+			next.changed[in.entry] = next.revision
+			switch {
+			case out.kind == publishing.KindRefused && clash:
+				return []any{h}
+			case out.kind == publishing.KindUnavailable:
+				return []any{h}
+			case out.kind == publishing.KindUnknown && clash:
+				return []any{h}
+			case out.kind == publishing.KindUnknown:
+				return []any{h, next}
+			case out.kind == "" && !clash && out.revision == next.revision:
+				return []any{next}
+			}
+			return nil
+		},
+	}
+	return model.ToModel()
+}
+
+// publishAll lets several operators publish at the same time and returns what
+// each saw.
+func publishAll(seed uint64, faults float64) []porcupine.Operation {
+	store := &faultyStore{rng: rand.New(rand.NewPCG(seed, seed)), faults: faults}
+	var mu sync.Mutex
+	var operations []porcupine.Operation
+	var group sync.WaitGroup
+	begin := time.Now()
+	for operator := range 3 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			publisher := publishing.New(store, quickClock{})
+			base := uint64(0)
+			for i := range 4 {
+				in := publishInput{entry: (operator + i) % 2, base: base}
+				n, err := note.Parse("n.toml", fmt.Appendf(nil, "id = \"o-%d-%d\"\n[service.s-%d]\n", operator, i, in.entry))
+				if err != nil {
+					panic(err)
+				}
+				called := time.Since(begin)
+				state, err := publisher.Publish(context.Background(), n, base, "")
+				out := publishOutput{}
+				if err != nil {
+					out.kind = err.(*publishing.Error).Kind()
+				} else {
+					applied, _ := state.Note(n.ID())
+					out.revision = applied.Revision
+					base = state.Revision
+				}
+				returned := time.Since(begin)
+				if out.kind == publishing.KindUnknown {
+					// It may still take effect as far as this operator knows.
+					returned = time.Hour
+				}
+				mu.Lock()
+				operations = append(operations, porcupine.Operation{
+					ClientId: operator*10 + i, Input: in, Output: out, Call: int64(called), Return: int64(returned),
+				})
+				mu.Unlock()
+			}
+		}()
+	}
+	group.Wait()
+	return operations
+}
+
+var _ = Describe("concurrent publishing", func() {
+	It("is linearizable under lost answers and outages", func() {
+		published, refused := 0, 0
+		for seed := range uint64(200) {
+			operations := publishAll(seed, 0.2)
+			Expect(porcupine.CheckOperations(publishModel(), operations)).To(BeTrue(), "seed %d: %v", seed, operations)
+			for _, operation := range operations {
+				switch operation.Output.(publishOutput).kind {
+				case "":
+					published++
+				case publishing.KindRefused:
+					refused++
+				}
+			}
+		}
+		Expect(published).To(BeNumerically(">", 400))
+		Expect(refused).To(BeNumerically(">", 10))
+	})
+
+	It("says that nothing was published while the platform is down", func() {
+		store := &faultyStore{rng: rand.New(rand.NewPCG(1, 1)), faults: 1}
+		n, err := note.Parse("n.toml", []byte("id = \"x\"\n[service.a]\n"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = publishing.New(store, quickClock{}).Publish(context.Background(), n, 0, "")
+		Expect(err.(*publishing.Error).Kind()).To(Equal(publishing.KindUnavailable))
+	})
+})
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -173,7 +173,10 @@
 // Close ends the server at once.
 func (u *Upstream) Close() {
 	u.tomb.Kill(nil)
-	_ = u.server.Close()
+	u.mu.Lock()
+	server := u.server
+	u.mu.Unlock()
+	_ = server.Close()
 	_ = u.tomb.Wait()
 	u.client.CloseIdleConnections()
 }
@@ -218,6 +221,7 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	}
+	w.Header().Set(RequestHeader, r.Header.Get(RequestHeader))
 	if u.refuses() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -254,16 +258,24 @@
 	u.runs[id]++
 }
 
+// CrashNow cuts every connection, and serves again at once.
+func (u *Upstream) CrashNow() {
+	u.mu.Lock()
+	server := u.server
+	u.mu.Unlock()
+	_ = server.Close()
+	_ = u.Restart()
+}
+
 // crash cuts every connection, as the end of the process would.
 func (u *Upstream) crash() {
 	u.mu.Lock()
 	u.crashes++
 	u.mu.Unlock()
-	server := u.server
-	go func() { _ = server.Close() }()
+	go u.CrashNow()
 }
 
-// Restart serves again after a crash, on the same port.
+// Restart serves again after the server was closed, on the same port.
 func (u *Upstream) Restart() error {
 	listener, err := net.Listen("tcp", u.Address())
 	if err != nil {
--- /dev/null
+++ b/upstream/gate_test.go
@@ -0,0 +1,298 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/idempotency"
+	"github.com/banyancross/banyancross/note"
+	"github.com/banyancross/banyancross/totals"
+	"github.com/banyancross/banyancross/upstream"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upstream")
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time                         { return time.Now() }
+func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+const listing = `id = "first"
+[service.kasir]
+slots = 4
+reject-statuses = [503]
+[upstream.kasir-1]
+service = "kasir"
+`
+
+func inForce(text string) *note.InForce {
+	GinkgoHelper()
+	n, err := note.Parse("n.toml", []byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	state, err := (&note.State{}).Apply(n, note.Change{Now: time.Now()})
+	Expect(err).NotTo(HaveOccurred())
+	f := note.NewInForce()
+	f.Adopt(state)
+	return f
+}
+
+// rawServer answers each connection by script, which gets the request's head
+// and returns whether to keep the connection.
+type rawServer struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func newRawServer(script func(conn net.Conn, request *http.Request) bool) *rawServer {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &rawServer{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, script)
+		}
+	}()
+	DeferCleanup(listener.Close)
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn, script func(net.Conn, *http.Request) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.requests.Add(1)
+		if !script(conn, request) {
+			return
+		}
+	}
+}
+
+func answer(conn net.Conn, _ *http.Request) bool {
+	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npaid")
+	return err == nil
+}
+
+func newGate(address string) *upstream.Gate {
+	GinkgoHelper()
+	gate := upstream.NewGate(systemClock{}, inForce(listing), totals.NewCounter("h", "i"), "i")
+	Expect(gate.Announce(upstream.Announcement{
+		Upstream: "kasir-1", Service: "kasir", Address: address, Slots: 4, State: upstream.StateReady,
+	})).To(Succeed())
+	return gate
+}
+
+func meta(key string) hop.Meta {
+	return hop.Meta{ID: "1", Service: "kasir", Upstream: "kasir-1", Remaining: 2 * time.Second, Key: key, Received: time.Now()}
+}
+
+func post() *http.Request {
+	request, err := http.NewRequest(http.MethodPost, "/pay", strings.NewReader("x"))
+	Expect(err).NotTo(HaveOccurred())
+	return request
+}
+
+func ticket() string {
+	GinkgoHelper()
+	key, err := idempotency.Mint("kasir-1", "i")
+	Expect(err).NotTo(HaveOccurred())
+	return key.String()
+}
+
+func read(a *hop.Answer) string {
+	GinkgoHelper()
+	body, err := io.ReadAll(a.Response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(a.Response.Body.Close()).To(Succeed())
+	return string(body)
+}
+
+var _ = Describe("the promise of not-run", func() {
+	It("is given when nothing listens", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listener.Close()).To(Succeed())
+		a := newGate(listener.Addr().String()).Do(context.Background(), meta(""), post())
+		Expect(a.Meta.Outcome).To(Equal(call.NotRun))
+		Expect(a.Meta.Ran).To(BeFalse())
+	})
+
+	It("is not given once the server may have read the call", func() {
+		server := newRawServer(func(net.Conn, *http.Request) bool { return false })
+		a := newGate(server.listener.Addr().String()).Do(context.Background(), meta(""), post())
+		Expect(a.Meta.Outcome).To(Equal(call.Unknown))
+		Expect(server.requests.Load()).To(Equal(int64(1)))
+	})
+
+	It("is given when the release note says that the status means so", func() {
+		server := newRawServer(func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		a := newGate(server.listener.Addr().String()).Do(context.Background(), meta(""), post())
+		Expect(a.Meta.Outcome).To(Equal(call.NotRun))
+		Expect(a.Meta.Reason).To(Equal(call.ReasonRejected))
+	})
+
+	// net/http repeats a request on a connection that died, if it has a key
+	// and no body.
+	It("holds for an empty body on a connection that the server drops", func() {
+		first := make(chan struct{}, 1)
+		first <- struct{}{}
+		server := newRawServer(func(conn net.Conn, r *http.Request) bool {
+			select {
+			case <-first:
+				return answer(conn, r)
+			default:
+				return false
+			}
+		})
+		gate := newGate(server.listener.Addr().String())
+		Expect(read(gate.Do(context.Background(), meta(""), post()))).To(Equal("paid"))
+		empty, err := http.NewRequest(http.MethodPost, "/pay", http.NoBody)
+		Expect(err).NotTo(HaveOccurred())
+		empty.Header.Set("Idempotency-Key", ticket())
+		a := gate.Do(context.Background(), meta(""), empty)
+		Expect(a.Meta.Outcome).To(Equal(call.Unknown))
+		Expect(server.requests.Load()).To(Equal(int64(2)))
+	})
+
+	It("is given when the slot never came in time", func() {
+		release := make(chan struct{})
+		server := newRawServer(func(conn net.Conn, r *http.Request) bool {
+			<-release
+			return answer(conn, r)
+		})
+		gate := newGate(server.listener.Addr().String())
+		var group sync.WaitGroup
+		for range 4 {
+			group.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer group.Done()
+				Expect(read(gate.Do(context.Background(), meta(""), post()))).To(Equal("paid"))
+			}()
+		}
+		Eventually(server.requests.Load).Should(Equal(int64(4)))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		a := gate.Do(ctx, meta(""), post())
+		Expect(a.Meta.Outcome).To(Equal(call.NotRun))
+		close(release)
+		group.Wait()
+		Expect(server.requests.Load()).To(Equal(int64(4)))
+	})
+})
+
+var _ = Describe("a keyed call", func() {
+	It("runs once and repeats its answer", func() {
+		server := newRawServer(answer)
+		gate := newGate(server.listener.Addr().String())
+		key := ticket()
+		var group sync.WaitGroup
+		for range 20 {
+			group.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer group.Done()
+				Expect(read(gate.Do(context.Background(), meta(key), post()))).To(Equal("paid"))
+			}()
+		}
+		group.Wait()
+		Expect(server.requests.Load()).To(Equal(int64(1)))
+	})
+
+	It("goes on without its caller", func() {
+		release := make(chan struct{})
+		server := newRawServer(func(conn net.Conn, r *http.Request) bool {
+			<-release
+			return answer(conn, r)
+		})
+		gate := newGate(server.listener.Addr().String())
+		key := ticket()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			a := gate.Do(ctx, meta(key), post())
+			if a.Response != nil {
+				_ = a.Response.Body.Close()
+			}
+		}()
+		Eventually(server.requests.Load).Should(Equal(int64(1)))
+		cancel()
+		close(release)
+		<-done
+		Expect(read(gate.Do(context.Background(), meta(key), post()))).To(Equal("paid"))
+		Expect(server.requests.Load()).To(Equal(int64(1)))
+	})
+
+	It("is unknown for ever after its connection was lost", func() {
+		server := newRawServer(func(net.Conn, *http.Request) bool { return false })
+		gate := newGate(server.listener.Addr().String())
+		key := ticket()
+		for range 3 {
+			Expect(gate.Do(context.Background(), meta(key), post()).Meta.Outcome).To(Equal(call.Unknown))
+		}
+		Expect(server.requests.Load()).To(Equal(int64(1)))
+	})
+
+	It("is not run by another incarnation", func() {
+		server := newRawServer(answer)
+		gate := newGate(server.listener.Addr().String())
+		key, err := idempotency.Mint("kasir-1", "former")
+		Expect(err).NotTo(HaveOccurred())
+		a := gate.Do(context.Background(), meta(key.String()), post())
+		Expect(a.Meta.Outcome).To(Equal(call.Unknown))
+		Expect(server.requests.Load()).To(BeZero())
+	})
+})
+
+var _ = Describe("an upstream that leaves", func() {
+	It("ends what runs and takes nothing new", func() {
+		release := make(chan struct{})
+		server := newRawServer(func(conn net.Conn, r *http.Request) bool {
+			<-release
+			return answer(conn, r)
+		})
+		gate := newGate(server.listener.Addr().String())
+		done := make(chan string)
+		go func() {
+			defer GinkgoRecover()
+			done <- read(gate.Do(context.Background(), meta(""), post()))
+		}()
+		Eventually(server.requests.Load).Should(Equal(int64(1)))
+		idle := gate.Leave()
+		a := gate.Do(context.Background(), meta(""), post())
+		Expect(a.Meta.Reason).To(Equal(call.ReasonLeaving))
+		Expect(idle).NotTo(BeClosed())
+		close(release)
+		Expect(<-done).To(Equal("paid"))
+		Eventually(idle).Should(BeClosed())
+	})
+})
--- a/upstream/runner.go
+++ b/upstream/runner.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,18 +57,41 @@
 
 func (r *runner) close() { r.transport.CloseIdleConnections() }
 
-// countingConn counts the bytes handed to the kernel, before they are.
+// countingConn counts the bytes handed to the kernel until it is sealed.
 type countingConn struct {
 	net.Conn
-	written atomic.Int64
+	mu      sync.Mutex
+	written int64
+	sealed  bool
 }
 
 // Write implements net.Conn.
 func (c *countingConn) Write(data []byte) (int, error) {
-	c.written.Add(int64(len(data)))
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.written += int64(len(data))
+	c.mu.Unlock()
 	return c.Conn.Write(data)
 }
 
+func (c *countingConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// seal lets no more bytes through and returns how many were. Without it,
+// net/http could write a call after its round trip was given up.
+func (c *countingConn) seal() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
+
 // roundTrip runs one call. sent tells whether any byte of it was written, and
 // so whether the backend server may have run it.
 func (r *runner) roundTrip(ctx context.Context, meta hop.Meta, request *http.Request) (response *http.Response, sent bool, err error) {
@@ -78,13 +100,16 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn, _ = info.Conn.(*countingConn)
 		if conn != nil {
-			before = conn.written.Load()
+			before = conn.count()
 		}
 	}}
 	outgoing := r.outgoing(httptrace.WithClientTrace(ctx, trace), meta, request)
 	response, err = r.transport.RoundTrip(outgoing)
-	sent = err == nil || (conn != nil && conn.written.Load() > before)
-	return response, sent, err
+	if err == nil {
+		return response, true, nil
+	}
+	sent = conn != nil && conn.seal() > before
+	return nil, sent, err
 }
 
 func (r *runner) outgoing(ctx context.Context, meta hop.Meta, request *http.Request) *http.Request {
