routing, entry, load: prefer gate reports, hedge idempotent calls, compare policies

Traces showed that a gate's refusal for want of room counted as a failure of the upstream, so that all entry nodes fled from a full upstream together; and that a straggler is found out by each entry node for itself, which costs more than 1 % of the calls. Change: such a refusal only updates the load. The service time comes from the gate's report while that is fresh, the link is no longer counted twice, and an idempotent call without a body that takes 5 mean deviations longer than the mean is sent to a second upstream out of the retry budget.

--- /dev/null
+++ b/cmd/banyancross/slopes.go
@@ -0,0 +1,3 @@
+package main
+
+type slopesCommand struct{}
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -32,6 +33,33 @@
 	Domain   string
 	Service  string
 	index    int
+	lost     atomic.Bool
+}
+
+// Lost tells whether Lose was called.
+func (m *Member) Lost() bool { return m.lost.Load() }
+
+// Lose ends the member's node and backend server at once.
+func (m *Member) Lose() {
+	m.lost.Store(true)
+	m.Node.Kill()
+	m.Upstream.Close()
+}
+
+// LoseDomain ends all members of a failure domain at once.
+func (d *Deployment) LoseDomain(domain string) {
+	var group sync.WaitGroup
+	for _, member := range d.Members {
+		if member.Domain != domain {
+			continue
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			member.Lose()
+		}()
+	}
+	group.Wait()
 }
 
 // Deployment is a running fleet.
@@ -340,6 +368,9 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
+			if member.Lost() {
+				return
+			}
 			if member.Node != nil {
 				member.Node.Kill()
 			}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,9 +21,10 @@
 	"github.com/banyancross/banyancross/totals"
 )
 
-// Clock tells the time.
+// Clock tells the time and waits.
 type Clock interface {
 	Now() time.Time
+	After(d time.Duration) <-chan time.Time
 }
 
 // Target is an upstream as the entry node sees it.
@@ -88,6 +89,7 @@
 type serviceState struct {
 	policy routing.Policy
 	budget *retry.Budget
+	hedge  retry.Hedge
 }
 
 // Observation describes a finished call to the metrics.
@@ -163,9 +165,15 @@
 	return found
 }
 
-// Retries returns how many retries the service's calls have had here.
-func (e *Entry) Retries(service string) uint64 {
-	return e.service(service).budget.Retries()
+// Retries returns how many retries the calls of all services have had here.
+func (e *Entry) Retries() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var retries uint64
+	for _, service := range e.services {
+		retries += service.budget.Retries()
+	}
+	return retries
 }
 
 // call serves one call from its first byte to its last.
--- a/entry/session.go
+++ b/entry/session.go
@@ -10,9 +10,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/hop"
@@ -163,8 +160,7 @@
 	targets := c.targets()
 	answer := hop.Refusal(hop.Meta{}, call.Refuse(call.NotRun, call.ReasonNoUpstream))
 	for len(targets) > 0 {
-		at := c.choose(targets)
-		answer = c.attempt(ctx, targets[at])
+		answer, targets = c.hedged(ctx, targets, c.choose(targets))
 		if answer.Response != nil && !c.unavailable(answer) {
 			return answer
 		}
@@ -172,7 +168,6 @@
 			break
 		}
 		closeResponse(answer)
-		targets = append(targets[:at:at], targets[at+1:]...)
 	}
 	if answer.Response == nil && c.uncertain {
 		answer.Meta.Outcome = call.Unknown
@@ -270,28 +265,6 @@
 	return c.learned.policy.Choose(c.entry.clock.Now(), candidates)
 }
 
-// attempt sends the call to one target and learns from how it ends.
-func (c *session) attempt(ctx context.Context, target Target) *hop.Answer {
-	c.attempts++
-	c.remote = c.remote || target.candidate.Remote()
-	ctx, span := c.entry.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("upstream", target.Upstream()), attribute.Int("number", c.attempts)))
-	defer span.End()
-	request := c.request.WithContext(ctx)
-	request.Header = c.request.Header.Clone()
-	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
-	request.Body = http.NoBody
-	if c.body != nil {
-		request.Body = c.body.attempt()
-	}
-	started := c.entry.clock.Now()
-	c.learned.policy.Started(started, target.Upstream())
-	answer := c.entry.sender.Send(ctx, target, c.meta(started, target), request)
-	c.learn(started, target, answer)
-	span.SetAttributes(attribute.String("outcome", answer.Meta.Outcome.String()))
-	return answer
-}
-
 func (c *session) meta(now time.Time, target Target) hop.Meta {
 	meta := hop.Meta{
 		ID:          uuid.NewString(),
@@ -325,19 +298,3 @@
 	}
 	return digest.Sum64()
 }
-
-func (c *session) learn(started time.Time, target Target, answer *hop.Answer) {
-	now := c.entry.clock.Now()
-	failed := answer.Response != nil && answer.Response.StatusCode >= http.StatusInternalServerError
-	c.learned.policy.Finished(now, target.Upstream(), routing.Result{
-		Elapsed: now.Sub(started), Outcome: answer.Meta.Outcome, Reason: answer.Meta.Reason,
-		Failed: failed, Load: answer.Meta.Load,
-	})
-	lost := !answer.Meta.Gate && answer.Meta.Outcome == call.Unknown
-	if lost || answer.Meta.Ran {
-		c.uncertain = c.uncertain || answer.Meta.Reason != call.ReasonRejected
-	}
-	c.entry.counter.Attempted(c.day, c.name, totals.Attempt{
-		Ran: answer.Meta.Ran, Uncertain: lost, Retry: c.attempts > 1,
-	})
-}
--- a/load/load.go
+++ b/load/load.go
@@ -61,6 +61,14 @@
 	None     int
 	OnTime   int
 	latency  *hdrhistogram.Histogram
+	// felt counts a call without a whole answer at its deadline.
+	felt *hdrhistogram.Histogram
+}
+
+// Felt returns a quantile, in percent, of the latency of all calls, in which
+// one without a whole answer counts as long as its timeout.
+func (c *Count) Felt(percent float64) time.Duration {
+	return time.Duration(c.felt.ValueAtQuantile(percent)) * time.Microsecond
 }
 
 // Quantile returns a latency quantile of the answered calls, in percent.
@@ -74,8 +82,13 @@
 	order  []string
 	counts map[string]*Count
 	warm   int
+	stall  time.Duration
 }
 
+// Stall returns the longest time that this process was kept from running, by
+// which its figures are distorted.
+func (r *Result) Stall() time.Duration { return r.stall }
+
 // Calls returns how many calls were sent, those of the warm-up included.
 func (r *Result) Calls() int {
 	calls := r.warm
@@ -145,7 +158,7 @@
 	}
 	for i, stream := range streams {
 		r.result.order = append(r.result.order, stream.Service)
-		r.result.counts[stream.Service] = &Count{latency: hdrhistogram.New(1, maxLatency.Microseconds(), precision)}
+		r.result.counts[stream.Service] = &Count{latency: newHistogram(), felt: newHistogram()}
 		seed := plan.Seed + uint64(i)
 		r.group.Add(1)
 		go func() {
@@ -161,10 +174,37 @@
 			event.Do()
 		}()
 	}
+	watched := make(chan time.Duration)
+	finished := make(chan struct{})
+	go func() { watched <- longestStall(finished) }()
 	r.group.Wait()
+	close(finished)
+	r.result.stall = <-watched
 	return r.result
 }
 
+const stallTick = 2 * time.Millisecond
+
+// longestStall measures how much later than asked a sleeper wakes.
+func longestStall(finished <-chan struct{}) time.Duration {
+	longest := time.Duration(0)
+	last := time.Now()
+	for {
+		select {
+		case <-finished:
+			return longest
+		case <-time.After(stallTick):
+		}
+		now := time.Now()
+		longest = max(longest, now.Sub(last)-stallTick)
+		last = now
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), precision)
+}
+
 func sleepUntil(ctx context.Context, t time.Time) {
 	select {
 	case <-ctx.Done():
@@ -182,7 +222,7 @@
 			return
 		}
 		sleepUntil(ctx, due)
-		member := r.fleet.Members[rng.IntN(len(r.fleet.Members))]
+		member := r.pick(rng)
 		r.group.Add(1)
 		go func() {
 			defer r.group.Done()
@@ -191,6 +231,16 @@
 	}
 }
 
+// pick returns a member that takes calls.
+func (r *runner) pick(rng *rand.Rand) *deployment.Member {
+	for {
+		member := r.fleet.Members[rng.IntN(len(r.fleet.Members))]
+		if !member.Lost() {
+			return member
+		}
+	}
+}
+
 func (r *runner) call(ctx context.Context, member *deployment.Member, stream Stream, due time.Time) {
 	method, body := http.MethodGet, io.Reader(http.NoBody)
 	if stream.Keyed {
@@ -254,6 +304,11 @@
 	default:
 		count.None++
 	}
+	felt := elapsed
+	if !whole {
+		felt = max(felt, stream.Timeout)
+	}
+	_ = count.felt.RecordValue(min(felt, maxLatency).Microseconds())
 	if !whole {
 		return
 	}
--- a/note/note_test.go
+++ b/note/note_test.go
@@ -174,7 +174,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(first))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		n, err := note.Parse("n.toml", data)
 		if err != nil {
 			return
--- a/routing/estimating.go
+++ b/routing/estimating.go
@@ -15,12 +15,14 @@
 	// initialLatency stands for an upstream that was never observed.
 	initialLatency = 5 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average.
-	latencyWeight = 0.2
+	latencyWeight = 0.1
 	// forgetting is the time constant with which estimates of an idle
 	// upstream return to what is usual, so that it is tried again.
 	forgetting = 2 * time.Second
 	// reportLifetime is the time constant with which a load report fades.
 	reportLifetime = 100 * time.Millisecond
+	// fullSlowing is how much longer a call takes when all slots are in use.
+	fullSlowing = 0.5
 	// failurePenalty is the cost of an attempt that is certain to fail.
 	failurePenalty = 500 * time.Millisecond
 	// failureWeight is the weight of a new sample in the failure share.
@@ -42,10 +44,12 @@
 	inFlight   int
 	startedSum time.Duration // sum of start times of calls in flight since epoch
 	epoch      time.Time
-	latency    float64 // seconds
+	link       time.Duration
+	latency    float64 // of own calls without the link, in seconds
 	failures   float64 // share
 	observed   time.Time
-	reported   float64
+	service    float64 // reported service time, in seconds
+	reported   float64 // reported calls running and waiting
 	limit      float64
 	reportedAt time.Time
 	sinceThen  int // own calls started minus finished since the report
@@ -99,29 +103,47 @@
 	if !ok {
 		return c.link.Seconds() + initialLatency.Seconds()
 	}
-	idle := math.Exp(-now.Sub(e.observed).Seconds() / forgetting.Seconds())
-	usual := initialLatency.Seconds()
-	latency := usual + (e.latency-usual)*idle
-	latency = max(latency, e.meanAge(now).Seconds())
-	failures := e.failures * idle
-	load := e.load(now)
+	e.link = c.link
 	limit := e.limit
 	if limit < 1 {
 		limit = float64(max(c.slots, 1))
 	}
+	idle := math.Exp(-now.Sub(e.observed).Seconds() / forgetting.Seconds())
+	fresh := e.fresh(now)
+	latency := e.expected(now, idle, fresh)
+	utilisation := (e.load(fresh) + 1) / limit
 	// A server slows before its slots are full, and calls beyond the limit wait.
-	utilisation := (load + 1) / limit
-	wait := latency * max(0, utilisation-1)
-	busy := latency * (1 + 0.5*min(utilisation, 1))
-	return c.link.Seconds() + busy + wait + failures*failurePenalty.Seconds()
+	slowing := 1 + fullSlowing*min(utilisation*utilisation, 1)
+	waiting := max(0, utilisation-1)
+	return c.link.Seconds() + latency*(slowing+waiting) + e.failures*idle*failurePenalty.Seconds()
+}
+
+// fresh is the weight of the last report, which falls with its age.
+func (e *estimate) fresh(now time.Time) float64 {
+	if e.reportedAt.IsZero() {
+		return 0
+	}
+	return math.Exp(-now.Sub(e.reportedAt).Seconds() / reportLifetime.Seconds())
+}
+
+// expected returns the service time to expect. The gate's report rests on the
+// calls of all entry nodes and is preferred while it is fresh; calls in flight
+// that have lasted longer overrule it.
+func (e *estimate) expected(now time.Time, idle, fresh float64) float64 {
+	usual := initialLatency.Seconds()
+	own := usual + (e.latency-usual)*idle
+	latency := own
+	if e.service > 0 {
+		latency += fresh * (e.service - own)
+	}
+	return max(latency, (e.meanAge(now) - e.link).Seconds())
 }
 
 // load returns the expected number of calls at the upstream's gate.
-func (e *estimate) load(now time.Time) float64 {
-	age := now.Sub(e.reportedAt)
-	fresh := math.Exp(-age.Seconds() / reportLifetime.Seconds())
+func (e *estimate) load(fresh float64) float64 {
 	seen := max(0, e.reported+float64(e.sinceThen))
-	return max(float64(e.inFlight), seen*fresh+float64(e.inFlight)*(1-fresh))
+	own := float64(e.inFlight)
+	return max(own, own+fresh*(seen-own))
 }
 
 // meanAge returns the mean age of the calls in flight, which shows a stalled
@@ -159,36 +181,45 @@
 	e.sinceThen--
 	e.startedSum -= now.Add(-result.Elapsed).Sub(e.epoch)
 	if result.Reason == call.ReasonCancelled {
+		// It would have taken at least as long.
+		e.sample(max(e.latency, (result.Elapsed - e.link).Seconds()))
+		e.observed = now
 		return
 	}
 	e.observe(now, result)
 }
 
-// observe updates the averages; a failure says nothing about latency, or a
-// server that rejects everything quickly would attract calls.
+// observe updates the averages. A failure says nothing about latency, or a
+// server that rejects everything quickly would attract calls; a refusal for want
+// of room says nothing about health, and its report tells the load.
 func (e *estimate) observe(now time.Time, result Result) {
-	failed := 0.0
-	if result.Failed || result.Outcome != call.Answered {
-		failed = 1
-	}
-	e.failures += failureWeight * (failed - e.failures)
 	e.observed = now
-	if failed == 0 {
-		e.sample(result.Elapsed.Seconds())
+	switch {
+	case result.Failed || broken(result):
+		e.failures += failureWeight * (1 - e.failures)
+	case result.Outcome == call.Answered:
+		e.failures -= failureWeight * e.failures
+		e.sample((result.Elapsed - e.link).Seconds())
+	}
+	if result.Load == nil {
+		return
 	}
-	if result.Load != nil {
-		e.reported = float64(result.Load.Running + result.Load.Waiting)
-		e.limit = float64(result.Load.Limit)
-		e.reportedAt = now
-		e.sinceThen = 0
+	e.reported = float64(result.Load.Running + result.Load.Waiting)
+	e.limit = float64(result.Load.Limit)
+	e.service = result.Load.Service.Seconds()
+	e.reportedAt = now
+	e.sinceThen = 0
+}
+
+// broken tells an attempt that failed from one that the gate had no room for.
+func broken(result Result) bool {
+	if result.Outcome == call.Answered {
+		return false
 	}
+	return result.Reason != call.ReasonOverload && result.Reason != call.ReasonDeadline
 }
 
-// sample moves the average; a rise counts twice as much as a fall.
+// sample moves the average.
 func (e *estimate) sample(latency float64) {
-	weight := latencyWeight
-	if latency > e.latency {
-		weight *= 2
-	}
-	e.latency += weight * (latency - e.latency)
+	e.latency += latencyWeight * (latency - e.latency)
 }
