--- a/control/message.go
+++ b/control/message.go
@@ -45,8 +45,9 @@
 	OK       bool                `cbor:"11,keyasint,omitempty"`
 	// Confirmed is how long ago the platform last confirmed the revision, as
 	// far as the sender knows; zero when it never did.
-	Confirmed   time.Duration      `cbor:"12,keyasint,omitempty"`
-	Quarantined []quarantine.Entry `cbor:"13,keyasint,omitempty"`
+	Confirmed   time.Duration       `cbor:"12,keyasint,omitempty"`
+	Former      []membership.Former `cbor:"14,keyasint,omitempty"`
+	Quarantined []quarantine.Entry  `cbor:"13,keyasint,omitempty"`
 }
 
 // ErrorKind classifies an Error.
--- a/membership/contacts.go
+++ b/membership/contacts.go
@@ -3,44 +3,57 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// ring returns the members that may be alive in the failure domain and the one
-// whose host is always, ordered by a hash of their hosts, so that neighbours
-// are spread over racks.
-func ring(members []Member, failureDomain, always string) []Member {
-	var found []Member
-	for _, member := range members {
-		if member.FailureDomain == failureDomain && (member.Status <= Suspect || member.Host == always) {
-			found = append(found, member)
+// rings holds the members of each failure domain that may be alive, ordered by a
+// hash of their hosts, so that neighbours are spread over racks.
+type rings struct {
+	once    sync.Once
+	domains map[string][]Member
+}
+
+// ring returns the ring of a failure domain, built at the first use.
+func (s *Snapshot) ring(failureDomain string) []Member {
+	s.rings.once.Do(func() {
+		s.rings.domains = map[string][]Member{}
+		for _, member := range s.members {
+			if member.Status <= Suspect {
+				s.rings.domains[member.FailureDomain] = append(s.rings.domains[member.FailureDomain], member)
+			}
+		}
+		for _, members := range s.rings.domains {
+			slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(place(a), place(b)) })
 		}
-	}
-	slices.SortFunc(found, func(a, b Member) int {
-		return cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host))
 	})
-	return found
+	return s.rings.domains[failureDomain]
 }
 
+// place is a member's position on its ring.
+func place(m Member) uint64 { return xxhash.Sum64String(m.Host) }
+
 // Contacts returns the members that self probes and passes news to: those at
 // distances 1, 2, 4 and so on in its own failure domain's ring, and one in each
 // other failure domain.
 func (s *Snapshot) Contacts(self Member) []Member {
 	var contacts []Member
-	own := ring(s.members, self.FailureDomain, self.Host)
-	at := slices.IndexFunc(own, func(m Member) bool { return m.Host == self.Host })
-	if at < 0 {
-		return nil
-	}
+	own := s.ring(self.FailureDomain)
+	at, _ := slices.BinarySearchFunc(own, place(self), func(m Member, at uint64) int {
+		return cmp.Compare(place(m), at)
+	})
 	for distance := 1; distance < len(own); distance *= 2 {
-		contacts = append(contacts, own[(at+distance)%len(own)])
+		contact := own[(at+distance)%len(own)]
+		if contact.Host != self.Host {
+			contacts = append(contacts, contact)
+		}
 	}
 	for _, failureDomain := range s.FailureDomains() {
 		if failureDomain == self.FailureDomain {
 			continue
 		}
-		other := ring(s.members, failureDomain, "")
+		other := s.ring(failureDomain)
 		if len(other) > 0 {
 			contacts = append(contacts, other[at%len(other)])
 		}
@@ -51,7 +64,7 @@
 // Relays returns the count members of the failure domain that speak for it to
 // the platform.
 func (s *Snapshot) Relays(failureDomain string, count int) []Member {
-	own := ring(s.members, failureDomain, "")
+	own := s.ring(failureDomain)
 	return own[:min(count, len(own))]
 }
 
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,183 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/banyancross/banyancross/membership"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+var now = time.UnixMilli(1_800_000_000_000)
+
+func member(i, domains int) membership.Member {
+	return membership.Member{
+		Host: fmt.Sprintf("host-%d", i), Incarnation: fmt.Sprintf("life-%d", i), Started: 1,
+		FailureDomain: fmt.Sprintf("domain-%d", i%domains), Address: fmt.Sprintf("10.0.0.%d:1", i),
+	}
+}
+
+// fleet passes news between views at once, as the control connections do.
+type fleet struct {
+	views    map[string]*membership.View
+	messages int
+}
+
+func newFleet(n, domains int) *fleet {
+	f := &fleet{views: map[string]*membership.View{}}
+	for i := range n {
+		m := member(i, domains)
+		v := membership.NewView(now, m, rand.New(rand.NewPCG(1, uint64(i))))
+		f.views[m.Host] = v
+		if i == 0 {
+			continue
+		}
+		// A joining node exchanges full lists with a contact and the news spreads.
+		contact := f.views["host-0"]
+		v.Merge(now, contact.Snapshot().Members())
+		f.spread(contact, contact.Merge(now, []membership.Member{m}))
+	}
+	return f
+}
+
+func (f *fleet) spread(from *membership.View, news []membership.Member) {
+	if len(news) == 0 {
+		return
+	}
+	for _, contact := range from.Snapshot().Contacts(from.Self()) {
+		to, ok := f.views[contact.Host]
+		if !ok {
+			continue
+		}
+		f.messages++
+		f.spread(to, to.Merge(now, news))
+	}
+}
+
+var _ = Describe("a fleet", func() {
+	It("spreads news to all with few contacts each", func() {
+		for _, n := range []int{14, 56, 112} {
+			f := newFleet(n, 6)
+			f.messages = 0
+			v := f.views["host-3"]
+			f.spread(v, []membership.Member{v.UpdateSelf(func(m *membership.Member) { m.State = membership.Leaving })})
+			for host, view := range f.views {
+				seen, ok := view.Snapshot().Member("host-3")
+				Expect(ok).To(BeTrue())
+				Expect(seen.State).To(Equal(membership.Leaving), "on %s of %d", host, n)
+				Expect(len(view.Snapshot().Contacts(view.Self()))).To(BeNumerically("<=", 12))
+			}
+			Expect(f.messages).To(BeNumerically("<=", 12*n))
+		}
+	})
+
+	It("has the same relays in the eyes of all", func() {
+		f := newFleet(30, 3)
+		want := f.views["host-0"].Snapshot().Relays("domain-1", 2)
+		Expect(want).To(HaveLen(2))
+		for _, view := range f.views {
+			Expect(view.Snapshot().Relays("domain-1", 2)).To(Equal(want))
+		}
+	})
+})
+
+var _ = Describe("a view", func() {
+	var view *membership.View
+
+	BeforeEach(func() {
+		view = membership.NewView(now, member(0, 1), rand.New(rand.NewPCG(1, 1)))
+		view.Merge(now, []membership.Member{member(1, 1)})
+	})
+
+	It("declares a suspect down only after its time", func() {
+		m, _ := view.Snapshot().Member("host-1")
+		_, ok := view.Suspect(now, m)
+		Expect(ok).To(BeTrue())
+		Expect(view.Expire(now.Add(2 * time.Second))).To(BeEmpty())
+		Expect(view.Expire(now.Add(3 * time.Second))).To(HaveLen(1))
+	})
+
+	It("takes a paused host back when it refutes", func() {
+		m, _ := view.Snapshot().Member("host-1")
+		view.Suspect(now, m)
+		view.Expire(now.Add(time.Minute))
+		paused := membership.NewView(now, member(1, 1), rand.New(rand.NewPCG(2, 2)))
+		down, _ := view.Snapshot().Member("host-1")
+		Expect(down.Status).To(Equal(membership.Down))
+		refuted := paused.Merge(now, []membership.Member{down})
+		Expect(refuted).To(HaveLen(1))
+		view.Merge(now, refuted)
+		back, _ := view.Snapshot().Member("host-1")
+		Expect(back.Status).To(Equal(membership.Alive))
+	})
+
+	It("prefers a new incarnation, also with a slow clock", func() {
+		old := view.Self()
+		fresh := old
+		fresh.Incarnation, fresh.Started = "life-new", old.Started-100
+		v := membership.NewView(now, fresh, rand.New(rand.NewPCG(3, 3)))
+		news := v.Merge(now, []membership.Member{old})
+		Expect(news).To(HaveLen(1))
+		Expect(view.Merge(now.Add(time.Hour), news)).To(BeEmpty())
+		Expect(view.Superseded()).To(BeTrue())
+	})
+
+	It("remembers a replaced incarnation and tells of it", func() {
+		fresh := member(1, 1)
+		fresh.Incarnation, fresh.Started = "life-new", 2
+		view.Merge(now, []membership.Member{fresh})
+		Expect(view.Snapshot().Former()).To(ConsistOf(HaveField("Incarnation", "life-1")))
+		reborn := membership.NewView(now, fresh, rand.New(rand.NewPCG(4, 4)))
+		reborn.Merge(now, []membership.Member{member(1, 1)})
+		reborn.Expire(now)
+		reborn.UpdateSelf(func(*membership.Member) {})
+		Expect(reborn.Snapshot().Former()).To(ConsistOf(HaveField("Incarnation", "life-1")))
+		other := membership.NewView(now, member(2, 1), rand.New(rand.NewPCG(5, 5)))
+		other.MergeFormer(view.Snapshot().Former())
+		Expect(other.Snapshot().Former()).To(HaveLen(1))
+		other.Expire(now.Add(time.Hour))
+		Expect(other.Snapshot().Former()).To(BeEmpty())
+	})
+
+	It("does not take back a member that left", func() {
+		left := member(1, 1)
+		left.Version, left.Status = 5, membership.Left
+		view.Merge(now, []membership.Member{left})
+		late := member(1, 1)
+		late.Version = 9
+		Expect(view.Merge(now, []membership.Member{late})).To(BeEmpty())
+	})
+})
+
+// Property: views that heard the same records agree, whatever the order.
+func TestMergeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOf(rapid.Custom(func(t *rapid.T) membership.Member {
+			m := member(rapid.IntRange(1, 3).Draw(t, "host"), 1)
+			m.Incarnation = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "incarnation")
+			m.Started = int64(m.Incarnation[0])
+			m.Version = uint64(rapid.IntRange(0, 3).Draw(t, "version"))
+			m.Status = membership.Status(rapid.IntRange(0, 2).Draw(t, "status"))
+			return m
+		})).Draw(t, "records")
+		one := membership.NewView(now, member(0, 1), rand.New(rand.NewPCG(1, 1)))
+		two := membership.NewView(now, member(0, 1), rand.New(rand.NewPCG(1, 1)))
+		one.Merge(now, records)
+		for _, record := range rapid.Permutation(records).Draw(t, "order") {
+			two.Merge(now, []membership.Member{record})
+		}
+		if one.Digest() != two.Digest() {
+			t.Fatalf("views differ: %v and %v", one.Snapshot().Members(), two.Snapshot().Members())
+		}
+	})
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -14,6 +14,8 @@
 	suspicionSpan = 3 * time.Second
 	// forgetSpan is how long a member that is down or left is remembered.
 	forgetSpan = 24 * time.Hour
+	// formerSpan is how long a replaced incarnation is remembered.
+	formerSpan = time.Hour
 	// settleSpan is how long after its start a node takes a record of its host
 	// with a later start for one of a former incarnation with a fast clock.
 	settleSpan = 30 * time.Second
@@ -25,6 +27,7 @@
 	self       Member
 	born       time.Time
 	records    map[string]*record
+	former     map[string]Former // by incarnation
 	rng        *rand.Rand
 	digest     uint64
 	next       int
@@ -35,8 +38,22 @@
 // Snapshot is the fleet at one moment, ordered by host; it is not changed.
 type Snapshot struct {
 	members []Member
+	former  []Former
+	rings   rings
 }
 
+// Former is an incarnation that has left, is down, or was replaced by another
+// one of its host.
+type Former struct {
+	Host          string    `cbor:"1,keyasint"`
+	Incarnation   string    `cbor:"2,keyasint"`
+	FailureDomain string    `cbor:"3,keyasint"`
+	Replaced      time.Time `cbor:"4,keyasint"`
+}
+
+// Former returns the incarnations that went during the last hour.
+func (s *Snapshot) Former() []Former { return s.former }
+
 // Members returns all members, this node included.
 func (s *Snapshot) Members() []Member { return s.members }
 
@@ -63,7 +80,7 @@
 
 // NewView returns the view of a node that knows only itself.
 func NewView(now time.Time, self Member, rng *rand.Rand) *View {
-	v := &View{self: self, born: now, rng: rng, records: map[string]*record{}}
+	v := &View{self: self, born: now, rng: rng, records: map[string]*record{}, former: map[string]Former{}}
 	v.records[self.Host] = &record{member: self}
 	v.publish()
 	return v
@@ -141,6 +158,7 @@
 // mergeSelf handles a record of this host and tells whether to refute it.
 func (v *View) mergeSelf(now time.Time, member Member) bool {
 	if !member.supersedes(v.self) {
+		v.replaced(now, member, v.self.Incarnation)
 		return false
 	}
 	if member.Incarnation == v.self.Incarnation {
@@ -151,22 +169,55 @@
 		v.superseded = true
 		return false
 	}
+	v.replaced(now, member, v.self.Incarnation)
 	v.self.Started = member.Started + 1
 	return true
 }
 
 func (v *View) store(now time.Time, member Member) {
+	if known, ok := v.records[member.Host]; ok {
+		v.replaced(now, known.member, member.Incarnation)
+	}
 	r := &record{member: member}
 	switch member.Status {
 	case Alive:
+		delete(v.former, member.Incarnation)
 	case Suspect:
 		r.suspected = now
 	case Down, Left:
 		r.downSince = now
+		v.replaced(now, member, "")
 	}
 	v.records[member.Host] = r
 }
 
+// replaced remembers an incarnation that gives way to another, or to none.
+func (v *View) replaced(now time.Time, old Member, incarnation string) {
+	if old.Incarnation == incarnation {
+		return
+	}
+	v.former[old.Incarnation] = Former{
+		Host: old.Host, Incarnation: old.Incarnation, FailureDomain: old.FailureDomain, Replaced: now,
+	}
+}
+
+// MergeFormer takes former incarnations from another node.
+func (v *View) MergeFormer(former []Former) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := false
+	for _, f := range former {
+		if _, ok := v.former[f.Incarnation]; ok || f.Incarnation == v.self.Incarnation {
+			continue
+		}
+		v.former[f.Incarnation] = f
+		changed = true
+	}
+	if changed {
+		v.publish()
+	}
+}
+
 // Suspect marks a member that did not answer and returns its record as news;
 // ok is false when the record has changed meanwhile.
 func (v *View) Suspect(now time.Time, member Member) (suspect Member, ok bool) {
@@ -195,12 +246,19 @@
 		case r.member.Status == Suspect && now.Sub(r.suspected) >= suspicionSpan:
 			r.member.Status = Down
 			r.downSince = now
+			v.replaced(now, r.member, "")
 			news = append(news, r.member)
 		case r.member.Status >= Down && now.Sub(r.downSince) >= forgetSpan:
 			delete(v.records, host)
 			forgotten = true
 		}
 	}
+	for incarnation, f := range v.former {
+		if now.Sub(f.Replaced) >= formerSpan {
+			delete(v.former, incarnation)
+			forgotten = true
+		}
+	}
 	if len(news) > 0 || forgotten {
 		v.publish()
 	}
@@ -216,5 +274,9 @@
 		v.digest ^= r.member.hash()
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
-	v.snapshot.Store(&Snapshot{members: members})
+	former := make([]Former, 0, len(v.former))
+	for _, f := range v.former {
+		former = append(former, f)
+	}
+	v.snapshot.Store(&Snapshot{members: members, former: former})
 }
--- a/node/counts.go
+++ b/node/counts.go
@@ -135,18 +135,26 @@
 // seen, so that one which vanishes before its first report is missed.
 func (n *Node) expectReports() {
 	today := n.today()
+	snapshot := n.view.Snapshot()
 	var expected []totals.DayReport
-	for _, member := range n.view.Snapshot().Members() {
-		if member.FailureDomain != n.settings.FailureDomain() || member.Status > membership.Down {
-			continue
+	for _, member := range snapshot.Members() {
+		if member.FailureDomain == n.settings.FailureDomain() && member.Status <= membership.Suspect {
+			expected = append(expected, expectedReport(today, member.Host, member.Incarnation))
+		}
+	}
+	for _, former := range snapshot.Former() {
+		replaced := former.Replaced.In(n.settings.Location()).Format(totals.DayLayout)
+		if former.FailureDomain == n.settings.FailureDomain() && replaced == today {
+			expected = append(expected, expectedReport(today, former.Host, former.Incarnation))
 		}
-		expected = append(expected, totals.DayReport{
-			Day: today, Report: totals.Report{Host: member.Host, Incarnation: member.Incarnation},
-		})
 	}
 	n.relay.take(expected)
 }
 
+func expectedReport(day, host, incarnation string) totals.DayReport {
+	return totals.DayReport{Day: day, Report: totals.Report{Host: host, Incarnation: incarnation}}
+}
+
 func (n *Node) countsKey(day, failureDomain string) string {
 	return countsKeyPrefix + day + "/" + failureDomain
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -48,6 +48,7 @@
 		return nil
 	case control.Sync:
 		reply.Members = n.view.Snapshot().Members()
+		reply.Former = n.view.Snapshot().Former()
 	case control.Fetch:
 		reply.State = n.encodedState()
 	case control.Counts:
@@ -74,6 +75,9 @@
 	if len(message.Members) > 0 {
 		n.spreadMembers(ctx, n.view.Merge(now, message.Members))
 	}
+	if len(message.Former) > 0 {
+		n.view.MergeFormer(message.Former)
+	}
 	if message.Revision > n.inForce.Revision() {
 		n.fetchFrom(ctx, message.From)
 	}
@@ -183,6 +187,7 @@
 func (n *Node) sync(ctx context.Context, address string) bool {
 	message := n.message(control.Sync)
 	message.Members = n.view.Snapshot().Members()
+	message.Former = n.view.Snapshot().Former()
 	reply, err := n.peers.Request(ctx, address, message)
 	if err != nil {
 		return false
