--- a/control/peers.go
+++ b/control/peers.go
@@ -20,6 +20,10 @@
 	// requestTimeout bounds a request when its context has no deadline.
 	requestTimeout = time.Second
 	idleTimeout    = time.Minute
+	// maxConnections is how many opened connections are held; the one unused
+	// for longest gives way, so that a fleet whose contacts change while it
+	// starts does not connect everyone with everyone.
+	maxConnections = 16
 )
 
 // Handler answers a message, each on a goroutine of its own; a nil reply is not
@@ -33,10 +37,12 @@
 	sequence atomic.Uint64
 	bytes    atomic.Uint64
 	messages atomic.Uint64
+	uses     atomic.Uint64
 	tomb     tomb.Tomb
 
-	mu    sync.Mutex
-	peers map[string]*peer
+	mu      sync.Mutex
+	peers   map[string]*peer
+	opening map[string]chan struct{}
 }
 
 // Dial opens a connection to another node.
@@ -49,7 +55,7 @@
 	if dial != nil {
 		transport.DialContext = dial
 	}
-	p := &Peers{handler: handler, client: &http.Client{Transport: transport}, peers: map[string]*peer{}}
+	p := &Peers{handler: handler, client: &http.Client{Transport: transport}, peers: map[string]*peer{}, opening: map[string]chan struct{}{}}
 	p.tomb.Go(func() error {
 		<-p.tomb.Dying()
 		return nil
@@ -133,13 +139,41 @@
 	}
 }
 
+// connect returns the connection to address, opening it if there is none. Only
+// one caller opens it; the others wait for that.
 func (p *Peers) connect(ctx context.Context, address string) (*peer, error) {
-	p.mu.Lock()
-	known, ok := p.peers[address]
-	p.mu.Unlock()
-	if ok {
-		return known, nil
+	for {
+		p.mu.Lock()
+		known, ok := p.peers[address]
+		opening, busy := p.opening[address]
+		if !ok && !busy {
+			opening = make(chan struct{})
+			p.opening[address] = opening
+		}
+		p.mu.Unlock()
+		if ok {
+			known.used.Store(p.uses.Add(1))
+			return known, nil
+		}
+		if !busy {
+			return p.open(ctx, address, opening)
+		}
+		select {
+		case <-opening:
+		case <-ctx.Done():
+			return nil, newError("connect", KindTimeout, ctx.Err())
+		}
 	}
+}
+
+// open dials address and closes opening when it is done.
+func (p *Peers) open(ctx context.Context, address string, opening chan struct{}) (*peer, error) {
+	defer func() {
+		p.mu.Lock()
+		delete(p.opening, address)
+		p.mu.Unlock()
+		close(opening)
+	}()
 	//nolint:bodyclose // the body of a successful upgrade is the connection
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
 		HTTPClient: p.client, CompressionMode: websocket.CompressionDisabled,
@@ -155,15 +189,15 @@
 func (p *Peers) adopt(address string, conn *websocket.Conn) (*peer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known, ok := p.peers[address]; ok {
-		_ = conn.CloseNow()
-		return known, nil
-	}
 	if !p.tomb.Alive() {
 		_ = conn.CloseNow()
 		return nil, newError("connect", KindClosed, nil)
 	}
+	if len(p.peers) >= maxConnections {
+		p.dropUnused()
+	}
 	added := &peer{conn: conn, pending: map[uint64]chan *Message{}}
+	added.used.Store(p.uses.Add(1))
 	p.peers[address] = added
 	p.tomb.Go(func() error {
 		p.read(p.tomb.Context(context.Background()), added)
@@ -177,6 +211,26 @@
 	return added, nil
 }
 
+// dropUnused closes the connection that was unused for longest and waits for no
+// reply.
+func (p *Peers) dropUnused() {
+	var oldest *peer
+	var address string
+	for a, candidate := range p.peers {
+		if candidate.waiting() {
+			continue
+		}
+		if oldest == nil || candidate.used.Load() < oldest.used.Load() {
+			oldest, address = candidate, a
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	delete(p.peers, address)
+	oldest.close()
+}
+
 // read handles messages until the connection ends or is idle for too long.
 func (p *Peers) read(ctx context.Context, from *peer) {
 	defer from.close()
@@ -235,6 +289,7 @@
 // peer is one connection.
 type peer struct {
 	conn    *websocket.Conn
+	used    atomic.Uint64
 	mu      sync.Mutex
 	pending map[uint64]chan *Message
 	closed  bool
@@ -252,6 +307,13 @@
 	return reply
 }
 
+// waiting tells whether a reply is expected.
+func (p *peer) waiting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pending) > 0
+}
+
 func (p *peer) forget(sequence uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/control/peers_test.go
@@ -0,0 +1,73 @@
+package control_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/control"
+	"github.com/banyancross/banyancross/membership"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+func echo(_ context.Context, message *control.Message) *control.Message {
+	return &control.Message{Kind: message.Kind, Revision: message.Revision}
+}
+
+var _ = Describe("peers", func() {
+	It("match each reply to its request, over one connection", func() {
+		server := control.NewPeers(echo, nil)
+		listener := httptest.NewServer(server)
+		var dials atomic.Int64
+		client := control.NewPeers(echo, func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials.Add(1)
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		})
+		defer listener.Close()
+		defer server.Close()
+		defer client.Close()
+		var group sync.WaitGroup
+		for i := range uint64(100) {
+			group.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer group.Done()
+				reply, err := client.Request(context.Background(), listener.Listener.Addr().String(),
+					control.Message{Kind: control.Ping, Revision: i})
+				Expect(err).NotTo(HaveOccurred())
+				Expect(reply.Revision).To(Equal(i))
+			}()
+		}
+		group.Wait()
+		Expect(dials.Load()).To(Equal(int64(1)))
+	})
+
+	It("fail at once when nobody listens", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listener.Close()).To(Succeed())
+		client := control.NewPeers(echo, nil)
+		defer client.Close()
+		_, err = client.Request(context.Background(), listener.Addr().String(), control.Message{Kind: control.Ping})
+		Expect(err.(*control.Error).Kind()).To(Equal(control.KindConnect))
+	})
+})
+
+func FuzzDecode(f *testing.F) {
+	data, err := control.Encode(&control.Message{Kind: control.News, Members: []membership.Member{{Host: "kasir-1"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = control.Decode(data) })
+}
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -20,7 +20,13 @@
 	"github.com/banyancross/banyancross/upstream"
 )
 
-const pollPause = 20 * time.Millisecond
+const (
+	pollPause = 20 * time.Millisecond
+	// largeFleet is the size from which nodes are started one after another, as
+	// all of them starting in one process at once exhaust its files.
+	largeFleet = 60
+	startPause = 25 * time.Millisecond
+)
 
 // Member is one host of a deployment: a node and the backend server beside it.
 type Member struct {
@@ -213,6 +219,9 @@
 		if err := d.StartUpstream(member); err != nil {
 			return err
 		}
+		if len(d.Members) >= largeFleet {
+			time.Sleep(startPause)
+		}
 	}
 	document, err := note.Parse("first.toml", []byte(d.Shape.Note()))
 	if err != nil {
--- /dev/null
+++ b/deployment/faults_test.go
@@ -0,0 +1,252 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/deployment"
+	"github.com/banyancross/banyancross/membership"
+	"github.com/banyancross/banyancross/note"
+	"github.com/banyancross/banyancross/upstream"
+)
+
+// small returns six hosts in three failure domains.
+func small() deployment.Shape {
+	shape := deployment.Paguyuban()
+	shape.ServiceTime = 2 * time.Millisecond
+	shape.Services = []deployment.Service{{Name: "etalase", Upstreams: 6}}
+	return shape
+}
+
+func start(shape deployment.Shape, options ...deployment.Option) *deployment.Deployment {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	fleet, err := deployment.Start(ctx, shape, options...)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(fleet.Close)
+	return fleet
+}
+
+func publish(member *deployment.Member, id string, slots int) error {
+	document, err := note.Parse("n.toml", fmt.Appendf(nil, "id = %q\n[service.etalase]\ntimeout = \"2s\"\nslots = %d\n", id, slots))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, err = member.Node.Publish(ctx, document, member.Node.State().Revision, "")
+	return err
+}
+
+func revision(member *deployment.Member) uint64 {
+	if state := member.Node.State(); state != nil {
+		return state.Revision
+	}
+	return 0
+}
+
+func get(member *deployment.Member, path string) (status int, outcome, body string) {
+	response, err := http.Get("http://" + member.Settings.Callers() + path)
+	if err != nil {
+		return 0, "", ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, "", ""
+	}
+	return response.StatusCode, response.Header.Get("Banyancross-Outcome"), string(data)
+}
+
+// watchRevisions records a revision that fell on any node that was not
+// restarted meanwhile.
+func watchRevisions(fleet *deployment.Deployment, stop <-chan struct{}) *atomic.Bool {
+	reverted := &atomic.Bool{}
+	go func() {
+		seen := map[string]uint64{}
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			for _, member := range fleet.Members {
+				node := member.Node
+				state := node.State()
+				if state == nil {
+					continue
+				}
+				if state.Revision < seen[node.Incarnation()] {
+					reverted.Store(true)
+				}
+				seen[node.Incarnation()] = state.Revision
+			}
+		}
+	}()
+	return reverted
+}
+
+var _ = Describe("release notes in force", func() {
+	It("never revert through an outage and a cut, and reach every failure domain", func() {
+		fleet := start(small())
+		stop := make(chan struct{})
+		reverted := watchRevisions(fleet, stop)
+		Expect(publish(fleet.Members[0], "second", 8)).To(Succeed())
+		Eventually(func(g Gomega) {
+			for _, member := range fleet.Members {
+				g.Expect(revision(member)).To(Equal(uint64(2)))
+			}
+		}, 13*time.Second).Should(Succeed())
+
+		fleet.Network.Cut(fleet.Members[1].Domain, true)
+		Expect(publish(fleet.Members[0], "third", 9)).To(Succeed())
+		fleet.Platform.SetDown(true)
+		Expect(publish(fleet.Members[0], "fourth", 10)).NotTo(Succeed())
+		status, outcome, _ := get(fleet.Members[0], "/etalase/")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(outcome).To(Equal("answered"))
+
+		fleet.Network.Cut(fleet.Members[1].Domain, false)
+		fleet.Platform.SetDown(false)
+		Expect(publish(fleet.Members[2], "fifth", 11)).To(Succeed())
+		Eventually(func(g Gomega) {
+			want := revision(fleet.Members[2])
+			g.Expect(want).To(BeNumerically(">=", 4))
+			for _, member := range fleet.Members {
+				g.Expect(revision(member)).To(Equal(want))
+			}
+		}, 13*time.Second).Should(Succeed())
+		close(stop)
+		Expect(reverted.Load()).To(BeFalse())
+	})
+
+	It("come from peers to a node that starts while the platform is down", func() {
+		fleet := start(small())
+		member := fleet.Members[5]
+		member.Node.Kill()
+		fleet.Platform.SetDown(true)
+		Expect(fleet.StartNode(member)).To(Succeed())
+		Eventually(func() uint64 { return revision(member) }, 13*time.Second).Should(Equal(uint64(1)))
+		Eventually(func() string {
+			_, outcome, _ := get(member, "/etalase/")
+			return outcome
+		}, 5*time.Second).Should(Equal("answered"))
+	})
+
+	It("are resolved by reading back when the answer to a write is lost", func() {
+		fleet := start(small())
+		fleet.Platform.LoseAnswers(1)
+		Expect(publish(fleet.Members[0], "second", 8)).To(Succeed())
+		Expect(revision(fleet.Members[0])).To(Equal(uint64(2)))
+	})
+})
+
+var _ = Describe("an upstream that drains", func() {
+	It("gets no new work within two seconds and cuts none", func() {
+		fleet := start(small())
+		leaver := fleet.Members[3]
+		var failed atomic.Int64
+		stop := make(chan struct{})
+		var group sync.WaitGroup
+		for _, member := range fleet.Members {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					if status, _, _ := get(member, "/etalase/"); status != http.StatusOK {
+						failed.Add(1)
+					}
+				}
+			}()
+		}
+		Eventually(leaver.Upstream.Served).Should(BeNumerically(">", 5))
+		leaver.Upstream.SetState(upstream.StateLeaving)
+		Eventually(func(g Gomega) {
+			for _, member := range fleet.Members {
+				g.Expect(fleet.State(member, leaver.Settings.Host())).To(Equal(membership.Leaving))
+			}
+		}, 2*time.Second).Should(Succeed())
+		Eventually(leaver.Upstream.Running).Should(BeZero())
+		served := leaver.Upstream.Served()
+		Consistently(leaver.Upstream.Served, 300*time.Millisecond).Should(Equal(served))
+		close(stop)
+		group.Wait()
+		Expect(failed.Load()).To(BeZero())
+	})
+
+	It("ends an archive in progress when its node is stopped", func() {
+		shape := small()
+		shape.LinkDelay = 0
+		fleet := start(shape)
+		const size = 50 << 20
+		stopping := fleet.Members[0]
+		response, err := http.Get(fmt.Sprintf("http://%s/etalase/archive?bytes=%d", stopping.Settings.Callers(), size))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		head := make([]byte, 1<<20)
+		_, err = io.ReadFull(response.Body, head)
+		Expect(err).NotTo(HaveOccurred())
+		stopped := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			stopped <- stopping.Node.Stop(ctx)
+		}()
+		rest, err := io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rest).To(Equal(int64(size - len(head))))
+		Eventually(stopped, 20*time.Second).Should(Receive(BeNil()))
+	})
+})
+
+var _ = Describe("an answer that is cut", func() {
+	It("is seen as cut by the caller", func() {
+		shape := small()
+		shape.Services = []deployment.Service{{Name: "etalase", Upstreams: 2}}
+		shape.LinkDelay = 0
+		fleet := start(shape)
+		fleet.Members[0].Upstream.SetState(upstream.StateDraining)
+		Eventually(func() int { return len(fleet.Members[0].Node.Targets("etalase")) }).Should(Equal(1))
+		response, err := http.Get(fmt.Sprintf("http://%s/etalase/archive?bytes=%d", fleet.Members[0].Settings.Callers(), 100<<20))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		fleet.Members[1].Upstream.CrashNow()
+		_, err = io.Copy(io.Discard, response.Body)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("a failure domain that is cut off", func() {
+	It("is found down and comes back by itself", func() {
+		fleet := start(small())
+		lost, observer := fleet.Members[1], fleet.Members[0]
+		fleet.Network.Cut(lost.Domain, true)
+		Eventually(func() membership.UpstreamState {
+			return fleet.State(observer, lost.Settings.Host())
+		}, 20*time.Second).Should(Equal(membership.Absent))
+		_, outcome, _ := get(lost, "/etalase/")
+		Expect(outcome).To(Equal("answered"))
+		fleet.Network.Cut(lost.Domain, false)
+		Eventually(func(g Gomega) {
+			for _, member := range fleet.Members {
+				for _, other := range fleet.Members {
+					g.Expect(fleet.State(member, other.Settings.Host())).To(Equal(membership.Ready))
+				}
+			}
+		}, 30*time.Second).Should(Succeed())
+	})
+})
