--- a/cmd/banyancross/slopes.go
+++ b/cmd/banyancross/slopes.go
@@ -10,8 +10,8 @@
 
 // slopesCommand measures what docs/CAPACITY.md is worked out from.
 type slopesCommand struct {
-	Sizes  []int         `default:"14,56,112,224" help:"The sizes of the idle fleets, in nodes."`
-	Span   time.Duration `default:"10s" help:"How long each idle fleet is measured."`
+	Sizes  []int         `default:"14,28,56,112" help:"The sizes of the idle fleets, in nodes."`
+	Span   time.Duration `default:"5s" help:"How long each idle fleet is measured."`
 	Rates  []int         `default:"250,500,1000,2000" help:"The rates, in calls a second."`
 	Depths []int         `default:"1,3,8,19" help:"The depths of the chains."`
 }
