--- a/entry/session.go
+++ b/entry/session.go
@@ -134,7 +134,7 @@
 	appendForwardedFor(request.Header, r.RemoteAddr)
 	request.Trailer = r.Trailer
 	c.request = request
-	if r.Body != nil && r.Body != http.NoBody {
+	if r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0 {
 		c.body = newReplayBody(http.MaxBytesReader(nil, r.Body, c.service.MaxBody))
 	}
 	return nil
--- a/hop/server.go
+++ b/hop/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/banyancross/banyancross/call"
 )
@@ -49,6 +50,9 @@
 	}
 }
 
+// writeTimeout is how long a reader may take for one piece of a streamed answer.
+const writeTimeout = 30 * time.Second
+
 var buffers = sync.Pool{New: func() any {
 	buffer := make([]byte, 32<<10)
 	return &buffer
@@ -85,9 +89,16 @@
 	buffer := *pooled
 	controller := http.NewResponseController(w)
 	whole := response.ContentLength >= 0 && response.ContentLength <= int64(len(buffer))
+	if !whole {
+		// A later answer on the same connection must not meet this deadline.
+		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	}
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			if !whole {
+				_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+			}
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				return writeErr
 			}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -264,17 +264,18 @@
 	return false
 }
 
-// upstreamChanged tells the fleet about the state of the upstream.
-func (n *Node) upstreamChanged(state membership.UpstreamState) {
+// upstreamChanged tells the fleet about the state of the upstream. It reads the
+// state itself, so that of two changes at once the later one is told last.
+func (n *Node) upstreamChanged(membership.UpstreamState) {
 	announcement := n.gate.Announcement()
 	slots := int(n.gate.Load().Limit)
 	self := n.view.UpdateSelf(func(m *membership.Member) {
 		m.Upstream, m.Service = announcement.Upstream, announcement.Service
-		m.State = state
+		m.State = n.gate.State()
 		m.Slots = slots
 	})
 	_ = level.Info(n.logger).Log("event", "upstream", "upstream", announcement.Upstream,
-		"service", announcement.Service, "state", state)
+		"service", announcement.Service, "state", self.State)
 	n.spreadMembers(n.context(), []membership.Member{self})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -312,7 +312,6 @@
 	n.stopping = true
 	n.mu.Unlock()
 	idle := n.gate.Leave()
-	n.upstreamChanged(membership.Leaving)
 	_ = level.Info(n.logger).Log("event", "leaving")
 	var err error
 	select {
--- a/note/note.go
+++ b/note/note.go
@@ -70,9 +70,12 @@
 var kebab = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
 
 const (
-	maxTimeout  = 10 * time.Minute
-	maxSlots    = 1024
-	maxBodySize = 1 << 40
+	maxTimeout     = 10 * time.Minute
+	maxSlots       = 1024
+	maxConnections = 65536
+	maxBodySize    = 1 << 40 // bytes
+	maxProbes      = 100     // a second
+	maxProbeBytes  = 1 << 20 // a second
 )
 
 // Parse reads and checks the note in the file called name.
@@ -120,22 +123,42 @@
 }
 
 func (p *parser) service(name string, doc serviceDocument) (serviceEntry, error) {
-	entry := serviceEntry{name: name, withdrawn: doc.Withdrawn}
-	at := func(key string) []string { return []string{"service", name, key} }
+	entry := serviceEntry{name: name, withdrawn: doc.Withdrawn, service: DefaultService()}
 	if !kebab.MatchString(name) {
 		return entry, p.invalid("service name %q is not in kebab case", []any{name}, "service", name)
 	}
-	service := DefaultService()
-	service.RequireKey = doc.RequireKey
-	if doc.Timeout != "" {
-		timeout, err := time.ParseDuration(doc.Timeout)
-		if err != nil || timeout <= 0 || timeout > maxTimeout {
-			return entry, p.invalid("timeout %q is not a duration above 0s and up to %s",
-				[]any{doc.Timeout, maxTimeout}, at("timeout")...)
+	entry.service.RequireKey = doc.RequireKey
+	if doc.IdempotentMethods != nil {
+		entry.service.IdempotentMethods = doc.IdempotentMethods
+	}
+	if doc.RejectStatuses != nil {
+		entry.service.RejectStatuses = doc.RejectStatuses
+	}
+	checks := []func(string, serviceDocument, *Service) error{p.timeout, p.counts, p.shares, p.preference}
+	for _, check := range checks {
+		if err := check(name, doc, &entry.service); err != nil {
+			return entry, err
 		}
-		service.Timeout = timeout
 	}
-	checks := []struct {
+	return entry, nil
+}
+
+func (p *parser) timeout(name string, doc serviceDocument, service *Service) error {
+	if doc.Timeout == "" {
+		return nil
+	}
+	timeout, err := time.ParseDuration(doc.Timeout)
+	if err != nil || timeout <= 0 || timeout > maxTimeout {
+		return p.invalid("timeout %q is not a duration above 0s and up to %s",
+			[]any{doc.Timeout, maxTimeout}, "service", name, "timeout")
+	}
+	service.Timeout = timeout
+	return nil
+}
+
+// counts reads the whole numbers, of which zero stands for the default.
+func (p *parser) counts(name string, doc serviceDocument, service *Service) error {
+	fields := []struct {
 		key   string
 		value int64
 		limit int64
@@ -143,53 +166,55 @@
 	}{
 		{"max-body", doc.MaxBody, maxBodySize, func(v int64) { service.MaxBody = v }},
 		{"slots", int64(doc.Slots), maxSlots, func(v int64) { service.Slots = int(v) }},
-		{"connections", int64(doc.Connections), 65536, func(v int64) { service.Connections = int(v) }},
+		{"connections", int64(doc.Connections), maxConnections, func(v int64) { service.Connections = int(v) }},
 	}
-	for _, check := range checks {
-		if check.value < 0 || check.value > check.limit {
-			return entry, p.invalid("%s %d is not between 1 and %d",
-				[]any{check.key, check.value, check.limit}, at(check.key)...)
+	for _, field := range fields {
+		if field.value < 0 || field.value > field.limit {
+			return p.invalid("%s %d is not between 1 and %d",
+				[]any{field.key, field.value, field.limit}, "service", name, field.key)
 		}
-		if check.value > 0 {
-			check.set(check.value)
+		if field.value > 0 {
+			field.set(field.value)
 		}
 	}
-	shares := []struct {
-		key   string
-		value *float64
-		limit float64
-		field *float64
+	return nil
+}
+
+// shares reads the numbers for which zero is a value of its own.
+func (p *parser) shares(name string, doc serviceDocument, service *Service) error {
+	fields := []struct {
+		key    string
+		value  *float64
+		limit  float64
+		target *float64
 	}{
 		{"retry-share", doc.RetryShare, 1, &service.RetryShare},
-		{"probes-per-second", doc.ProbesPerSecond, 100, &service.ProbesPerSecond},
-		{"probe-bytes-per-second", doc.ProbeBytesPerSecond, 1 << 20, &service.ProbeBytesPerSecond},
+		{"probes-per-second", doc.ProbesPerSecond, maxProbes, &service.ProbesPerSecond},
+		{"probe-bytes-per-second", doc.ProbeBytesPerSecond, maxProbeBytes, &service.ProbeBytesPerSecond},
 	}
-	for _, share := range shares {
-		if share.value == nil {
+	for _, field := range fields {
+		if field.value == nil {
 			continue
 		}
-		if *share.value < 0 || *share.value > share.limit {
-			return entry, p.invalid("%s %g is not between 0 and %g",
-				[]any{share.key, *share.value, share.limit}, at(share.key)...)
+		if *field.value < 0 || *field.value > field.limit {
+			return p.invalid("%s %g is not between 0 and %g",
+				[]any{field.key, *field.value, field.limit}, "service", name, field.key)
 		}
-		*share.field = *share.value
-	}
-	if doc.IdempotentMethods != nil {
-		service.IdempotentMethods = doc.IdempotentMethods
-	}
-	if doc.RejectStatuses != nil {
-		service.RejectStatuses = doc.RejectStatuses
+		*field.target = *field.value
 	}
+	return nil
+}
+
+func (p *parser) preference(name string, doc serviceDocument, service *Service) error {
 	switch doc.Preference {
 	case "":
 	case PreferLocal, PreferFastest:
 		service.Preference = doc.Preference
 	default:
-		return entry, p.invalid("preference %q is neither %q nor %q",
-			[]any{doc.Preference, PreferLocal, PreferFastest}, at("preference")...)
+		return p.invalid("preference %q is neither %q nor %q",
+			[]any{doc.Preference, PreferLocal, PreferFastest}, "service", name, "preference")
 	}
-	entry.service = service
-	return entry, nil
+	return nil
 }
 
 func (p *parser) upstream(name string, doc upstreamDocument) (upstreamEntry, error) {
--- a/routing/estimating.go
+++ b/routing/estimating.go
@@ -12,8 +12,11 @@
 const (
 	// choices is how many candidates are compared for each call.
 	choices = 3
-	// initialLatency stands for an upstream that was never observed.
+	// initialLatency stands for a service that was never observed.
 	initialLatency = 5 * time.Millisecond
+	// usualWeight is the weight of a new sample in the service's average, which
+	// stands for an upstream of which nothing is known.
+	usualWeight = 0.05
 	// latencyWeight is the weight of a new sample in the moving average.
 	latencyWeight = 0.1
 	// forgetting is the time constant with which estimates of an idle
@@ -37,6 +40,7 @@
 	rng   *rand.Rand
 	stats map[string]*estimate
 	order []int
+	usual float64 // latency of the service's answers, in seconds
 }
 
 // estimate is what is known about one upstream.
@@ -57,7 +61,7 @@
 
 // NewEstimating returns an Estimating policy that samples from rng.
 func NewEstimating(rng *rand.Rand) *Estimating {
-	return &Estimating{rng: rng, stats: map[string]*estimate{}}
+	return &Estimating{rng: rng, stats: map[string]*estimate{}, usual: initialLatency.Seconds()}
 }
 
 // Choose implements Policy.
@@ -101,7 +105,7 @@
 func (p *Estimating) cost(now time.Time, c Candidate) float64 {
 	e, ok := p.stats[c.name]
 	if !ok {
-		return c.link.Seconds() + initialLatency.Seconds()
+		return c.link.Seconds() + p.usual
 	}
 	e.link = c.link
 	limit := e.limit
@@ -110,7 +114,7 @@
 	}
 	idle := math.Exp(-now.Sub(e.observed).Seconds() / forgetting.Seconds())
 	fresh := e.fresh(now)
-	latency := e.expected(now, idle, fresh)
+	latency := e.expected(now, p.usual, idle, fresh)
 	utilisation := (e.load(fresh) + 1) / limit
 	// A server slows before its slots are full, and calls beyond the limit wait.
 	slowing := 1 + fullSlowing*min(utilisation*utilisation, 1)
@@ -129,8 +133,7 @@
 // expected returns the service time to expect. The gate's report rests on the
 // calls of all entry nodes and is preferred while it is fresh; calls in flight
 // that have lasted longer overrule it.
-func (e *estimate) expected(now time.Time, idle, fresh float64) float64 {
-	usual := initialLatency.Seconds()
+func (e *estimate) expected(now time.Time, usual, idle, fresh float64) float64 {
 	own := usual + (e.latency-usual)*idle
 	latency := own
 	if e.service > 0 {
@@ -161,7 +164,7 @@
 	defer p.mu.Unlock()
 	e, ok := p.stats[name]
 	if !ok {
-		e = &estimate{epoch: now, latency: initialLatency.Seconds(), observed: now}
+		e = &estimate{epoch: now, latency: p.usual, observed: now}
 		p.stats[name] = e
 	}
 	e.inFlight++
@@ -187,6 +190,9 @@
 		return
 	}
 	e.observe(now, result)
+	if result.Outcome == call.Answered && !result.Failed {
+		p.usual += usualWeight * ((result.Elapsed - e.link).Seconds() - p.usual)
+	}
 }
 
 // observe updates the averages. A failure says nothing about latency, or a
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -112,6 +112,22 @@
 		Expect(chosen["near-1"]).To(BeNumerically("<", 10))
 	})
 
+	It("does not run to a server it knows nothing of", func() {
+		policy := estimating()
+		shares(policy, func(name string) routing.Result { return answered(40*time.Millisecond, 4) })
+		now := start.Add(400 * time.Millisecond)
+		all := append(candidates()[:2], routing.NewCandidate("new-1", 16, 0, false))
+		chosen := 0
+		for range 60 {
+			at := policy.Choose(now, all)
+			policy.Started(now, all[at].Name())
+			if all[at].Name() == "new-1" {
+				chosen++
+			}
+		}
+		Expect(chosen).To(BeNumerically("<", 40))
+	})
+
 	It("tries a failed server again after a while", func() {
 		policy := estimating()
 		shares(policy, func(name string) routing.Result {
