entry: promise not-run for a keyed request only where its gate can

The resend had met an entry node that had just been restarted and held no release note; it refused with not-run, though an earlier send had run elsewhere. Change: what an entry node refuses by itself is unknown when the request has a key (no revision, unknown service, malformed headers, too deep, too large). A malformed key stays not-run, since no gate runs it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -188,12 +188,12 @@
 
 	state := e.directory.State()
 	if state == nil {
-		writeRefusal(w, call.Refuse(call.NotRun, call.ReasonNotReady))
+		writeRefusal(w, promised(r, call.Refuse(call.NotRun, call.ReasonNotReady)))
 		return nil
 	}
 	entry, ok := state.Service(name)
 	if !ok {
-		writeRefusal(w, call.Refuse(call.NotRun, call.ReasonUnknownService))
+		writeRefusal(w, promised(r, call.Refuse(call.NotRun, call.ReasonUnknownService)))
 		return nil
 	}
 	c, refusal := newSession(e, r, entry, path, received)
@@ -203,6 +203,7 @@
 	ending := totals.Ending{Outcome: call.Unknown}
 	defer func() { e.counter.Ended(c.day, name, ending) }()
 	if refusal != nil {
+		refusal = promised(r, refusal)
 		ending = totals.Ending{Outcome: refusal.Outcome()}
 		writeRefusal(w, refusal)
 		return nil
@@ -229,6 +230,16 @@
 	return nil
 }
 
+// promised returns what an entry node can say by itself of a request that it
+// refuses. An earlier send of a keyed request may have run elsewhere, so only
+// the key's own gate can promise not-run, unless no gate runs such a key.
+func promised(r *http.Request, refusal *call.Refusal) *call.Refusal {
+	if r.Header.Get(keyHeader) == "" || refusal.Reason() == call.ReasonKeyMalformed {
+		return refusal
+	}
+	return call.Refuse(call.Unknown, refusal.Reason())
+}
+
 // splitService takes the first element off an escaped path.
 func splitService(path string) (service, rest string) {
 	service, rest, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,73 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/entry"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/note"
+	"github.com/banyancross/banyancross/totals"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time                         { return time.Now() }
+func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// blank is a directory with the given state and no upstreams.
+type blank struct {
+	state *note.State
+}
+
+func (b blank) State() *note.State              { return b.state }
+func (blank) Targets(string) []entry.Target     { return nil }
+func (blank) Owner(string) (entry.Target, bool) { return entry.Target{}, false }
+func (blank) Send(context.Context, entry.Target, hop.Meta, *http.Request) *hop.Answer {
+	panic("nothing to send to")
+}
+
+var _ = DescribeTable("what an entry node promises by itself",
+	func(known bool, key, path, depth, outcome string) {
+		state := (*note.State)(nil)
+		if known {
+			n, err := note.Parse("n.toml", []byte("id = \"first\"\n[service.kasir]\n"))
+			Expect(err).NotTo(HaveOccurred())
+			state, err = (&note.State{}).Apply(n, note.Change{Now: time.Now()})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		e := entry.New(systemClock{}, blank{state: state}, blank{}, totals.NewCounter("h", "i"))
+		request := httptest.NewRequest(http.MethodPost, path, http.NoBody)
+		if key != "" {
+			request.Header.Set("Idempotency-Key", key)
+		}
+		if depth != "" {
+			request.Header.Set("Banyancross-Depth", depth)
+		}
+		recorder := httptest.NewRecorder()
+		e.ServeHTTP(recorder, request)
+		Expect(recorder.Header().Get(entry.OutcomeHeader)).To(Equal(outcome))
+	},
+	Entry("no revision, no key", false, "", "/kasir/", "", "not-run"),
+	Entry("no revision, a key", false, goodKey, "/kasir/", "", "unknown"),
+	Entry("unknown service, a key", true, goodKey, "/lilin/", "", "unknown"),
+	Entry("too deep, no key", true, "", "/kasir/", "20", "not-run"),
+	Entry("too deep, a key", true, goodKey, "/kasir/", "20", "unknown"),
+	Entry("malformed depth, a key", true, goodKey, "/kasir/", "x", "unknown"),
+	Entry("malformed key", true, "abc", "/kasir/", "", "not-run"),
+	Entry("no upstream, no key", true, "", "/kasir/", "", "not-run"),
+	Entry("no owner, a key", true, goodKey, "/kasir/", "", "unknown"),
+)
+
+const goodKey = "01a3185c-5000-7000-8000-000000000000"
