--- a/cmd/banyancross/script_test.go
+++ b/cmd/banyancross/script_test.go
@@ -46,11 +46,12 @@
 	})
 }
 
-// setPorts finds free ports and names them P1, P2 and so on; K1 is a key.
+// setPorts finds free ports and names them P1, P2 and so on. They are on an
+// address of their own, so that no test of another package takes one meanwhile.
 func setPorts(env *testscript.Env) error {
 	var listeners []net.Listener
 	for i := range scriptPorts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", "127.91.0.1:0")
 		if err != nil {
 			return err
 		}
