all: remove what nothing calls, and say one thing once

Cause: a reading of the whole change. Change: gone are a counter, an answer builder, two stand-in accessors and a test parameter that nothing used, and an argument of the state notice that nobody reads any more. Conclusion: behaviour and assertions are as before.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -30,6 +30,23 @@
 	return pass
 }
 
+// round runs as many calls at once as given, each for the service time, and
+// returns when they end.
+func round(gate *admission.Gate, calls uint32, at time.Time, service time.Duration) time.Time {
+	GinkgoHelper()
+	var passes []*admission.Pass
+	for range calls {
+		pass, refusal := gate.Admit(at, admission.Request{Deadline: at.Add(time.Hour)})
+		Expect(refusal).To(BeNil())
+		passes = append(passes, pass)
+	}
+	at = at.Add(service)
+	for _, pass := range passes {
+		pass.End(at, true)
+	}
+	return at
+}
+
 var _ = Describe("a gate", func() {
 	It("runs as many calls as there are slots and queues the rest", func() {
 		gate := admission.NewGate(2)
@@ -74,29 +91,20 @@
 	It("lowers its limit for a straggler, not below a quarter, and recovers", func() {
 		gate := admission.NewGate(16)
 		at := now
-		round := func(service time.Duration) {
-			var passes []*admission.Pass
-			for range gate.Load(at).Limit {
-				pass, refusal := gate.Admit(at, admission.Request{Deadline: at.Add(time.Hour)})
-				Expect(refusal).To(BeNil())
-				passes = append(passes, pass)
-			}
-			at = at.Add(service)
-			for _, pass := range passes {
-				pass.End(at, true)
-			}
+		run := func(service time.Duration) {
+			at = round(gate, gate.Load(at).Limit, at, service)
 		}
 		for range 20 {
-			round(10 * time.Millisecond)
+			run(10 * time.Millisecond)
 		}
 		Expect(gate.Load(at).Limit).To(Equal(uint32(16)))
 		for range 20 {
-			round(200 * time.Millisecond)
+			run(200 * time.Millisecond)
 		}
 		Expect(gate.Load(at).Limit).To(BeNumerically("<", 10))
 		Expect(gate.Load(at).Limit).To(BeNumerically(">=", 4))
 		for range 100 {
-			round(10 * time.Millisecond)
+			run(10 * time.Millisecond)
 		}
 		Expect(gate.Load(at).Limit).To(Equal(uint32(16)))
 	})
@@ -109,16 +117,7 @@
 			if i >= 100 {
 				service = time.Millisecond
 			}
-			var passes []*admission.Pass
-			for range 16 {
-				pass, refusal := gate.Admit(at, admission.Request{Deadline: at.Add(time.Hour)})
-				Expect(refusal).To(BeNil())
-				passes = append(passes, pass)
-			}
-			at = at.Add(service)
-			for _, pass := range passes {
-				pass.End(at, true)
-			}
+			at = round(gate, 16, at, service)
 		}
 		Expect(gate.Load(at).Limit).To(Equal(uint32(16)))
 	})
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -347,16 +347,6 @@
 	return nil
 }
 
-// Named returns the member whose host has the given name.
-func (d *Deployment) Named(host string) *Member {
-	for _, member := range d.Members {
-		if member.Settings.Host() == host {
-			return member
-		}
-	}
-	return nil
-}
-
 // State returns what the fleet believes of an upstream, as one node sees it.
 func (d *Deployment) State(observer *Member, host string) membership.UpstreamState {
 	found, ok := observer.Node.Member(host)
--- a/deployment/history_test.go
+++ b/deployment/history_test.go
@@ -69,7 +69,7 @@
 }
 
 // pay sends one payment until it is answered or its sends are used up.
-func (c *callers) pay(client int, rng *rand.Rand, crash bool) {
+func (c *callers) pay(client int, rng *rand.Rand) {
 	key := c.key(rng)
 	if key == "" {
 		return
@@ -77,7 +77,7 @@
 	id := uuid.NewString()
 	for range 3 {
 		called := time.Since(c.begin)
-		seen := c.send(rng, key, id, crash)
+		seen := c.send(rng, key, id)
 		returned := time.Since(c.begin)
 		if seen.outcome == "" {
 			// Nothing was seen, so the send may still take effect.
@@ -98,7 +98,7 @@
 	}
 }
 
-func (c *callers) send(rng *rand.Rand, key, id string, crash bool) send {
+func (c *callers) send(rng *rand.Rand, key, id string) send {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+rng.IntN(1500))*time.Millisecond)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.node(rng)+"/kasir/pay", strings.NewReader("x"))
@@ -108,9 +108,6 @@
 	request.GetBody = nil
 	request.Header.Set("Idempotency-Key", key)
 	request.Header.Set(standin.RequestHeader, id)
-	if crash {
-		request.Header.Set(standin.CrashHeader, "1")
-	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return send{}
@@ -220,7 +217,7 @@
 				if client == 0 && i == 6 {
 					second.do(c.fleet, c.fleet.Members[1])
 				}
-				c.pay(client, rng, false)
+				c.pay(client, rng)
 			}
 		}()
 	}
--- a/hop/server.go
+++ b/hop/server.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/banyancross/banyancross/call"
 )
 
 // Gate answers attempts; the answer is never nil.
@@ -114,10 +112,3 @@
 		}
 	}
 }
-
-// NewRefusedAnswer is Refusal with the gate's load report.
-func NewRefusedAnswer(meta Meta, refusal *call.Refusal, load call.Load) *Answer {
-	answer := Refusal(meta, refusal)
-	answer.Meta.Load = &load
-	return answer
-}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -266,7 +266,7 @@
 
 // upstreamChanged tells the fleet about the state of the upstream. It reads the
 // state itself, so that of two changes at once the later one is told last.
-func (n *Node) upstreamChanged(membership.UpstreamState) {
+func (n *Node) upstreamChanged() {
 	announcement := n.gate.Announcement()
 	slots := int(n.gate.Load().Limit)
 	self := n.view.UpdateSelf(func(m *membership.Member) {
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -57,7 +57,6 @@
 	shifting bool
 	rejects  bool
 	runs     map[string]int
-	crashes  int
 }
 
 // UpstreamOption configures an Upstream.
@@ -163,13 +162,6 @@
 	return runs
 }
 
-// Crashes returns how often a request crashed the server.
-func (u *Upstream) Crashes() int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.crashes
-}
-
 // Close ends the server at once.
 func (u *Upstream) Close() {
 	u.tomb.Kill(nil)
@@ -269,9 +261,6 @@
 
 // crash cuts every connection, as the end of the process would.
 func (u *Upstream) crash() {
-	u.mu.Lock()
-	u.crashes++
-	u.mu.Unlock()
 	go u.CrashNow()
 }
 
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -51,8 +51,7 @@
 	counter       Counter
 	quarantine    Quarantine
 	incarnation   string
-	notify        func(membership.UpstreamState)
-	requests      atomic.Uint64
+	notify        func()
 	probes        atomic.Uint64
 	probeBytes    atomic.Uint64
 	lastAnswer    atomic.Int64
@@ -72,7 +71,7 @@
 type Option func(*Gate)
 
 // WithNotify calls notify whenever the upstream's state changes.
-func WithNotify(notify func(membership.UpstreamState)) Option {
+func WithNotify(notify func()) Option {
 	return func(g *Gate) { g.notify = notify }
 }
 
@@ -88,7 +87,7 @@
 		configuration: configuration,
 		counter:       counter,
 		incarnation:   incarnation,
-		notify:        func(membership.UpstreamState) {},
+		notify:        func() {},
 		quarantine:    noQuarantine{},
 	}
 	for _, option := range options {
@@ -168,7 +167,6 @@
 
 // Do implements hop.Gate.
 func (g *Gate) Do(ctx context.Context, meta hop.Meta, request *http.Request) *hop.Answer {
-	g.requests.Add(1)
 	p := g.parts()
 	if p.admission == nil || p.upstream != meta.Upstream {
 		return hop.Refusal(meta, g.wrongGate(meta))
--- a/upstream/lifecycle.go
+++ b/upstream/lifecycle.go
@@ -66,7 +66,7 @@
 	}
 	g.mu.Unlock()
 	if changed {
-		g.notify(state)
+		g.notify()
 	}
 }
 
