--- a/admission/gate.go
+++ b/admission/gate.go
@@ -25,6 +25,8 @@
 	Depth int
 	// Alone asks that nothing else runs meanwhile.
 	Alone bool
+	// Priority is lower for more urgent calls of the same depth.
+	Priority int
 }
 
 // Gate admits calls to one upstream; it is safe for concurrent use.
@@ -34,6 +36,7 @@
 	coldUntil   time.Time
 	coldSpan    time.Duration
 	limiter     limiter
+	knee        float64
 	running     int
 	aloneActive bool
 	queue       passQueue
@@ -54,9 +57,19 @@
 	}
 }
 
+// WithKnee keeps the slots above a share for calls of other upstreams, which
+// their callers hold slots for, and takes the upstream's slots for its capacity:
+// its service time then says nothing about it.
+func WithKnee(share float64) Option {
+	return func(g *Gate) {
+		g.knee = share
+		g.limiter.fixed = true
+	}
+}
+
 // NewGate returns a Gate for an upstream that runs up to slots calls.
 func NewGate(slots int, options ...Option) *Gate {
-	g := &Gate{slots: max(slots, 1), idle: make(chan struct{})}
+	g := &Gate{slots: max(slots, 1), knee: 1, idle: make(chan struct{})}
 	g.limiter = newLimiter(g.slots)
 	for _, option := range options {
 		option(g)
@@ -72,7 +85,9 @@
 		return
 	}
 	g.slots = slots
+	fixed := g.limiter.fixed
 	g.limiter = newLimiter(slots)
+	g.limiter.fixed = fixed
 }
 
 // Admit returns a Pass, which may have to wait, or the refusal.
@@ -139,7 +154,16 @@
 	if request.Alone {
 		return g.running == 0
 	}
-	return g.running < g.limit(now)
+	return g.running < g.allowance(now, request)
+}
+
+// allowance returns how many calls may run beside and with the request.
+func (g *Gate) allowance(now time.Time, request Request) int {
+	limit := g.limit(now)
+	if request.Depth > 0 {
+		return limit
+	}
+	return max(1, int(g.knee*float64(limit)))
 }
 
 func (g *Gate) grant(now time.Time, pass *Pass) {
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -20,6 +20,8 @@
 // limiter adapts the number of calls that may run to the service time, in the
 // manner of additive increase and multiplicative decrease.
 type limiter struct {
+	// fixed keeps the limit at the slots.
+	fixed    bool
 	slots    float64
 	limit    float64
 	service  time.Duration
@@ -43,7 +45,7 @@
 	if l.service < l.baseline {
 		l.baseline += time.Duration(serviceWeight * float64(l.service-l.baseline))
 	}
-	if !l.slow() {
+	if l.fixed || !l.slow() {
 		l.limit = min(l.slots, l.limit+1/l.limit)
 		return
 	}
--- a/admission/pass.go
+++ b/admission/pass.go
@@ -64,7 +64,8 @@
 	g.dispatch(now)
 }
 
-// passQueue is a heap ordered by depth, deepest first, then by deadline.
+// passQueue is a heap ordered by depth, deepest first, then by priority and
+// deadline.
 type passQueue struct {
 	passes []*Pass
 }
@@ -126,6 +127,9 @@
 	if a.request.Depth != b.request.Depth {
 		return a.request.Depth > b.request.Depth
 	}
+	if a.request.Priority != b.request.Priority {
+		return a.request.Priority < b.request.Priority
+	}
 	if !a.request.Deadline.Equal(b.request.Deadline) {
 		return a.request.Deadline.Before(b.request.Deadline)
 	}
--- a/call/call.go
+++ b/call/call.go
@@ -57,6 +57,12 @@
 	ReasonKeyReused      Reason = "key-reused"
 	ReasonKeyTableFull   Reason = "key-table-full"
 	ReasonAnswerNotKept  Reason = "answer-not-kept"
+	ReasonNoRoute        Reason = "no-route"
+	ReasonNoConfig       Reason = "no-configuration"
+	ReasonSlowed         Reason = "slowed"
+	ReasonFailing        Reason = "failing"
+	ReasonGarbled        Reason = "garbled"
+	ReasonFailed         Reason = "failed"
 )
 
 // Refusal is an answer that the system gives in place of the upstream.
@@ -86,4 +92,9 @@
 	Waiting uint32        `cbor:"2,keyasint,omitempty"`
 	Limit   uint32        `cbor:"3,keyasint,omitempty"`
 	Service time.Duration `cbor:"4,keyasint,omitempty"`
+	// Slowdown is how long work takes at the upstream relative to usual, 0
+	// when it is not known.
+	Slowdown float32 `cbor:"5,keyasint,omitempty"`
+	// Failing tells that most of the upstream's recent answers were failures.
+	Failing bool `cbor:"6,keyasint,omitempty"`
 }
--- a/cmd/banyancross/main.go
+++ b/cmd/banyancross/main.go
@@ -25,6 +25,7 @@
 // cli holds the commands.
 type cli struct {
 	Node     nodeCommand     `cmd:"" help:"Run the node beside a backend server."`
+	Sidecar  sidecarCommand  `cmd:"" help:"Run the node on a host that the platform runs."`
 	Note     noteCommand     `cmd:"" help:"Publish, amend, withdraw and read release notes."`
 	Status   statusCommand   `cmd:"" help:"Show services, upstreams and nodes."`
 	Totals   totalsCommand   `cmd:"" help:"Show a day's totals."`
--- /dev/null
+++ b/cmd/banyancross/sidecar.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/banyancross/banyancross/settings"
+	"github.com/banyancross/banyancross/sidecar"
+	"github.com/banyancross/banyancross/telemetry"
+)
+
+// sidecarCommand runs a node on a host that the platform runs.
+type sidecarCommand struct {
+	Settings string `required:"" type:"path" help:"The settings file, in TOML."`
+}
+
+const (
+	// sidecarMemoryShare is the part of the host's bound on memory from which
+	// the collector works harder.
+	sidecarMemoryShare = 0.6
+	megabyte           = 1 << 20
+)
+
+// Run implements the command.
+func (command *sidecarCommand) Run(c console) error {
+	conf, err := settings.ReadSidecar(command.Settings)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(sidecarMemoryShare * float64(conf.Memory()) * megabyte))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	s, err := sidecar.New(conf, sidecar.WithLogger(telemetry.NewLogger(c.out, conf.LogLevel())),
+		sidecar.WithReread(func() (*settings.Sidecar, error) { return settings.ReadSidecar(command.Settings) }))
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	for received := range signals {
+		if received == syscall.SIGHUP {
+			s.Reload()
+			continue
+		}
+		break
+	}
+	s.Stop()
+	return nil
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,160 @@
+package fleet
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// SilentAfter is how long a node may go unheard before calls avoid it: four
+	// beacons at their usual pace.
+	SilentAfter = 900 * time.Millisecond
+	// forgetAfter is how long a silent node is remembered, longer than its
+	// entry in the store lasts.
+	forgetAfter = 2 * time.Minute
+)
+
+// News tells what a beacon changed.
+type News struct {
+	// Known tells that the sender was known before.
+	Known bool
+	// Restarted tells that the sender is a later incarnation.
+	Restarted bool
+	// Changed tells that the upstream, its phase, or the node's end changed.
+	Changed bool
+	// Returned tells that the sender was silent before.
+	Returned bool
+}
+
+// Peer is a node as this one knows it.
+type Peer struct {
+	beacon Beacon
+	heard  time.Time
+	silent bool
+}
+
+// Beacon returns the latest beacon.
+func (p Peer) Beacon() Beacon { return p.beacon }
+
+// Heard returns when the latest beacon came.
+func (p Peer) Heard() time.Time { return p.heard }
+
+// Silent tells that the node was not heard of lately.
+func (p Peer) Silent() bool { return p.silent }
+
+// View is safe for concurrent use.
+type View struct {
+	mu    sync.Mutex
+	peers map[string]*Peer
+}
+
+// NewView returns an empty View.
+func NewView() *View { return &View{peers: map[string]*Peer{}} }
+
+// Introduce adds a node that has not been heard of yet.
+func (v *View) Introduce(now time.Time, b Beacon) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.peers[b.Host]
+	if known != nil && known.beacon.Incarnation >= b.Incarnation {
+		return
+	}
+	if known != nil && !known.silent && known.beacon.Calls == b.Calls {
+		return
+	}
+	v.peers[b.Host] = &Peer{beacon: b, heard: now, silent: true}
+}
+
+// Learn takes a beacon and tells what it changed. Beacons that were overtaken
+// are dropped.
+func (v *View) Learn(now time.Time, b Beacon) News {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.peers[b.Host]
+	if known == nil {
+		v.peers[b.Host] = &Peer{beacon: b, heard: now}
+		return News{Changed: true}
+	}
+	old := known.beacon
+	if b.Incarnation < old.Incarnation || (b.Incarnation == old.Incarnation && b.Sequence <= old.Sequence) {
+		return News{Known: true}
+	}
+	news := News{Known: true, Restarted: b.Incarnation != old.Incarnation, Returned: known.silent}
+	news.Changed = news.Restarted || old.Upstream != b.Upstream || old.Phase != b.Phase || old.Stopping != b.Stopping
+	known.beacon, known.heard, known.silent = b, now, false
+	return news
+}
+
+// Heard records another sign of life of a node.
+func (v *View) Heard(now time.Time, host string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if peer := v.peers[host]; peer != nil && !peer.silent {
+		peer.heard = now
+	}
+}
+
+// Paused adds the time in which this node could not listen.
+func (v *View) Paused(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, peer := range v.peers {
+		peer.heard = peer.heard.Add(d)
+	}
+}
+
+// Expire marks nodes as silent, drops those that have long been so, and returns
+// the nodes that have just fallen silent.
+func (v *View) Expire(now time.Time) []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var lost []Peer
+	for host, peer := range v.peers {
+		quiet := now.Sub(peer.heard)
+		if quiet > forgetAfter {
+			delete(v.peers, host)
+			continue
+		}
+		if !peer.silent && quiet > SilentAfter {
+			peer.silent = true
+			lost = append(lost, *peer)
+		}
+	}
+	return lost
+}
+
+// Peers returns all nodes in the order of their names.
+func (v *View) Peers() []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	peers := make([]Peer, 0, len(v.peers))
+	for _, peer := range v.peers {
+		peers = append(peers, *peer)
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].beacon.Host < peers[j].beacon.Host })
+	return peers
+}
+
+// Serving returns the nodes whose upstream takes calls of a service. Silent
+// nodes are returned only when there is no other.
+func (v *View) Serving(service string) []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var live, silent []Peer
+	for _, peer := range v.peers {
+		b := peer.beacon
+		if b.Service != service || b.Phase != Ready || b.Stopping {
+			continue
+		}
+		if peer.silent {
+			silent = append(silent, *peer)
+		} else {
+			live = append(live, *peer)
+		}
+	}
+	if len(live) == 0 {
+		return silent
+	}
+	return live
+}
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -13,8 +13,12 @@
 
 // Header names between nodes.
 const (
-	callHeader   = "Banyancross-Call"
-	answerHeader = "Banyancross-Answer"
+	callHeader   = CallHeader
+	answerHeader = AnswerHeader
+	// CallHeader carries the Meta of an attempt.
+	CallHeader = "Banyancross-Call"
+	// AnswerHeader carries the AnswerMeta of an answer.
+	AnswerHeader = "Banyancross-Answer"
 	// HeaderPrefix begins the names of all headers of this system.
 	HeaderPrefix = "Banyancross-"
 )
@@ -32,6 +36,25 @@
 	Revision    uint64        `cbor:"9,keyasint"`
 	Day         string        `cbor:"10,keyasint"`
 	Fingerprint uint64        `cbor:"11,keyasint,omitempty"`
+	// Caller is the service of the host where the call began.
+	Caller string `cbor:"12,keyasint,omitempty"`
+	// Priority is lower for more urgent calls.
+	Priority int `cbor:"13,keyasint,omitempty"`
+	// Patience is how long the call may wait at the gate.
+	Patience time.Duration `cbor:"14,keyasint,omitempty"`
+	// Selective asks the gate to refuse while another upstream would probably
+	// answer sooner.
+	Selective bool `cbor:"15,keyasint,omitempty"`
+}
+
+// Encode returns the header value that carries the metadata.
+func (m Meta) Encode() (string, error) { return encode(m) }
+
+// DecodeMeta reads the value that Encode returned.
+func DecodeMeta(text string) (Meta, error) {
+	var meta Meta
+	err := decode(text, &meta)
+	return meta, err
 }
 
 // AnswerMeta is what a gate tells the entry node about an answer.
@@ -47,6 +70,16 @@
 	Gate bool `cbor:"8,keyasint,omitempty"`
 }
 
+// Encode returns the header value that carries the metadata.
+func (m AnswerMeta) Encode() (string, error) { return encode(m) }
+
+// DecodeAnswerMeta reads the value that Encode returned.
+func DecodeAnswerMeta(text string) (AnswerMeta, error) {
+	var meta AnswerMeta
+	err := decode(text, &meta)
+	return meta, err
+}
+
 // Answer is a gate's answer; Response is nil unless the outcome is Answered.
 type Answer struct {
 	Meta     AnswerMeta
--- /dev/null
+++ b/http1/head.go
@@ -0,0 +1,230 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Request is a request as it was received.
+type Request struct {
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   *Body
+	// Content is the body, or the part of it that was held in memory.
+	Content []byte
+	// Rest is the part of a long body behind Content, nil when there is none.
+	Rest *Body
+	// keep tells that the sender wants the connection to stay open.
+	keep bool
+}
+
+// Path returns the path of the target, without its query.
+func (r *Request) Path() string {
+	path, _, _ := strings.Cut(r.Target, "?")
+	return path
+}
+
+// Response is an answer as it was received.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   *Body
+	// Length is the length of the body, -1 when the head does not tell it.
+	Length int64
+	keep   bool
+	conn   *clientConn
+}
+
+// limitedReader counts down what a message's head may take.
+type limitedReader struct {
+	source io.Reader
+	left   int64
+}
+
+const unlimited = 1 << 62
+
+var errHeadTooLarge = eris.New("the head exceeds its limit")
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+// readRequest reads the head of a request and prepares its body.
+func readRequest(br *bufio.Reader, maxBody int64) (*Request, error) {
+	tp := textproto.NewReader(br)
+	line, err := tp.ReadLine()
+	if err != nil {
+		return nil, headError(err)
+	}
+	method, rest, ok1 := strings.Cut(line, " ")
+	target, proto, ok2 := strings.Cut(rest, " ")
+	if !ok1 || !ok2 || !validMethod(method) || (proto != "HTTP/1.1" && proto != "HTTP/1.0") || !validTarget(target) {
+		return nil, newError("read request", KindMalformed, eris.New("request line"))
+	}
+	mime, err := tp.ReadMIMEHeader()
+	if err != nil {
+		return nil, headError(err)
+	}
+	header := http.Header(mime)
+	r := &Request{Method: method, Target: target, Header: header}
+	if len(header["Host"]) != 1 {
+		return nil, newError("read request", KindMalformed, eris.New("no single Host"))
+	}
+	r.Host = header.Get("Host")
+	header.Del("Host")
+	r.keep = proto == "HTTP/1.1" && !hasToken(header, "Connection", "close")
+	length, err := framing(header, proto)
+	if err != nil {
+		return nil, err
+	}
+	if length == lengthNone {
+		length = 0
+	}
+	if length > maxBody {
+		return nil, newError("read request", KindBodyTooLarge, nil)
+	}
+	r.Body = newBody(br, length, maxBody)
+	return r, nil
+}
+
+func headError(err error) error {
+	if errors.Is(err, errHeadTooLarge) {
+		return newError("read head", KindHeaderTooLarge, nil)
+	}
+	var protocol textproto.ProtocolError
+	if errors.As(err, &protocol) {
+		return newError("read head", KindMalformed, err)
+	}
+	return err
+}
+
+func validMethod(method string) bool {
+	for i := 0; i < len(method); i++ {
+		if c := method[i]; (c < 'A' || c > 'Z') && c != '-' {
+			return false
+		}
+	}
+	return method != ""
+}
+
+func validTarget(target string) bool {
+	if target == "" || (target[0] != '/' && target != "*") {
+		return false
+	}
+	for i := 0; i < len(target); i++ {
+		if target[i] <= ' ' || target[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// lengthNone tells that a head frames no body.
+const lengthNone = -3
+
+// framing returns the length of the body: a number of bytes, lengthChunked or
+// lengthNone.
+func framing(header http.Header, proto string) (int64, error) {
+	lengths, encodings := header["Content-Length"], header["Transfer-Encoding"]
+	switch {
+	case len(encodings) > 0 && len(lengths) > 0:
+		return 0, newError("frame", KindMalformed, eris.New("both a length and chunks"))
+	case len(encodings) > 1 || len(lengths) > 1:
+		return 0, newError("frame", KindMalformed, eris.New("the framing is given twice"))
+	case len(encodings) == 1:
+		if !strings.EqualFold(encodings[0], "chunked") || proto == "HTTP/1.0" {
+			return 0, newError("frame", KindMalformed, eris.Errorf("transfer encoding %q", encodings[0]))
+		}
+		return lengthChunked, nil
+	case len(lengths) == 1:
+		length, err := strconv.ParseUint(lengths[0], 10, 62)
+		if err != nil || strings.HasPrefix(lengths[0], "+") {
+			return 0, newError("frame", KindMalformed, eris.Errorf("length %q", lengths[0]))
+		}
+		return int64(length), nil
+	}
+	return lengthNone, nil
+}
+
+// readResponse reads the head of a response to a request of the given method.
+func readResponse(br *bufio.Reader, method string) (*Response, error) {
+	tp := textproto.NewReader(br)
+	line, err := tp.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	proto, rest, ok := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if !ok || err != nil || status < 100 || status > 599 || (proto != "HTTP/1.1" && proto != "HTTP/1.0") {
+		return nil, newError("read response", KindMalformed, eris.New("status line"))
+	}
+	mime, err := tp.ReadMIMEHeader()
+	if err != nil {
+		return nil, headError(err)
+	}
+	r := &Response{Status: status, Header: http.Header(mime)}
+	r.keep = proto == "HTTP/1.1" && !hasToken(r.Header, "Connection", "close")
+	length, err := framing(r.Header, proto)
+	if err != nil {
+		return nil, err
+	}
+	if bodyless(method, status) {
+		length = 0
+	}
+	r.Length = length
+	if length == lengthNone {
+		length, r.keep = lengthToEnd, false
+	}
+	r.Length = max(length, -1)
+	r.Body = newBody(br, length, unlimited)
+	return r, nil
+}
+
+func bodyless(method string, status int) bool {
+	return method == http.MethodHead || status < 200 || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// hasToken tells whether a comma-separated header has a token.
+func hasToken(header http.Header, name, token string) bool {
+	for _, line := range header[name] {
+		for _, part := range strings.Split(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// appendHeader writes header fields in the form of the wire.
+func appendHeader(buffer []byte, header http.Header) []byte {
+	for name, values := range header {
+		for _, value := range values {
+			buffer = appendField(buffer, name, value)
+		}
+	}
+	return buffer
+}
+
+func appendField(buffer []byte, name, value string) []byte {
+	buffer = append(buffer, name...)
+	buffer = append(buffer, ": "...)
+	buffer = append(buffer, value...)
+	return append(buffer, "\r\n"...)
+}
--- /dev/null
+++ b/ingress/attempt.go
@@ -0,0 +1,74 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/routing"
+)
+
+// heldAnswer is the largest part of an answer that is held until it is known to
+// be whole, in bytes. An answer within it that breaks off can be fetched again
+// from another upstream; the callers' usual answers are smaller.
+const heldAnswer = 256 << 10
+
+// result is how an attempt ended.
+type result struct {
+	attempt *attempt
+	answer  *egress.Answer
+	// content is the body, or its first part; whole tells which.
+	content []byte
+	whole   bool
+}
+
+func (r *result) status() int { return r.answer.Response.Status }
+
+// discard drops an answer that is not wanted.
+func (r *result) discard() {
+	r.answer.Finish()
+	r.attempt.cancel()
+}
+
+// attempt sends a request to one gate and holds the first part of the answer.
+func (in *Ingress) attempt(ctx context.Context, a *attempt, meta hop.Meta, c *egress.Call, results chan<- result) {
+	r := result{attempt: a, answer: in.sender.Send(ctx, a.peer, meta, c)}
+	if r.answer.Response != nil {
+		content, whole, err := r.answer.Response.Body.Buffer(heldAnswer)
+		r.content, r.whole = content, whole
+		if err != nil {
+			r.answer.Finish()
+			load := r.answer.Meta.Load
+			r.answer = egress.Refusal(call.Unknown, call.ReasonCut)
+			r.answer.Meta.Load, r.answer.Meta.Ran = load, true
+		}
+		if whole {
+			r.answer.Finish()
+		}
+	}
+	now := in.clock.Now()
+	in.policy.Finished(now, policyName(a.peer.Beacon()), routing.Result{
+		Elapsed: now.Sub(a.started), Outcome: r.answer.Meta.Outcome, Reason: r.answer.Meta.Reason, Load: r.answer.Meta.Load,
+	})
+	if r.answer.Meta.Gate {
+		in.view.Heard(now, a.peer.Beacon().Host)
+	}
+	results <- r
+}
+
+// meta tells the gate about an attempt.
+func (s *session) meta(now time.Time, a *attempt) hop.Meta {
+	b := a.peer.Beacon()
+	remaining := s.timeout - now.Sub(s.received)
+	meta := hop.Meta{
+		ID: s.headers.ID(), Service: s.service, Upstream: b.Upstream, Remaining: remaining,
+		Idempotent: s.route.Idempotent, Received: s.received, Revision: s.table.Revision(),
+		Caller: s.in.caller(), Priority: s.route.Priority, Selective: a.selective,
+	}
+	if !a.selective {
+		meta.Patience = min(time.Duration(patienceShare*float64(s.objective())), remaining/2)
+	}
+	return meta
+}
--- /dev/null
+++ b/ingress/ingress.go
@@ -0,0 +1,179 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/route"
+	"github.com/banyancross/banyancross/routing"
+)
+
+// Clock tells the time and waits.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
+// Sender sends an attempt to the gate beside an upstream. The answer is never
+// nil, and its Finish must be called.
+type Sender interface {
+	Send(ctx context.Context, peer fleet.Peer, meta hop.Meta, c *egress.Call) *egress.Answer
+}
+
+// Observation is how a request ended.
+type Observation struct {
+	ID       string
+	Route    string
+	Service  string
+	Revision uint64
+	Status   int
+	Outcome  call.Outcome
+	Reason   call.Reason
+	Attempts int
+	Picks    int
+	Elapsed  time.Duration
+	// Late tells that the answer came after the route's latency objective.
+	Late bool
+	// Trail describes each attempt.
+	Trail []Step
+}
+
+// Step is one attempt of a request.
+type Step struct {
+	Host     string
+	Upstream string
+	Outcome  call.Outcome
+	Reason   call.Reason
+	Hedge    bool
+	At       time.Duration
+	Took     time.Duration
+	Load     call.Load
+}
+
+// Ingress is safe for concurrent use.
+type Ingress struct {
+	clock   Clock
+	logger  log.Logger
+	table   func() *route.Table
+	caller  func() string
+	domain  string
+	view    *fleet.View
+	sender  Sender
+	policy  *routing.Reporting
+	budgets *budgets
+	observe func(Observation)
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// Option configures an Ingress.
+type Option func(*Ingress)
+
+// WithClock sets the clock.
+func WithClock(clock Clock) Option { return func(in *Ingress) { in.clock = clock } }
+
+// WithLogger sets where log lines go.
+func WithLogger(logger log.Logger) Option { return func(in *Ingress) { in.logger = logger } }
+
+// WithObserver calls observe after each request.
+func WithObserver(observe func(Observation)) Option {
+	return func(in *Ingress) { in.observe = observe }
+}
+
+// WithBudget sets the bounds on retries that all nodes share.
+func WithBudget(b Budget) Option { return func(in *Ingress) { in.budgets = newBudgets(b, in.view) } }
+
+// WithSeed sets the seed of all random choices.
+func WithSeed(seed uint64) Option {
+	return func(in *Ingress) { in.rng = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// systemClock is the clock of the operating system.
+type systemClock struct{}
+
+func (systemClock) Now() time.Time                         { return time.Now() }
+func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// New returns an Ingress for the callers in a failure domain. table returns the
+// configuration in force, nil before the first; caller returns the service of
+// the host.
+func New(domain string, table func() *route.Table, caller func() string, view *fleet.View, sender Sender, options ...Option) *Ingress {
+	in := &Ingress{
+		clock: systemClock{}, logger: log.NewNopLogger(), table: table, caller: caller, domain: domain,
+		view: view, sender: sender, observe: func(Observation) {},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	in.budgets = newBudgets(Budget{}, view)
+	for _, option := range options {
+		option(in)
+	}
+	in.policy = routing.NewReporting(rand.New(rand.NewPCG(in.rng.Uint64(), in.rng.Uint64())))
+	return in
+}
+
+// Report takes what a node says of its upstream.
+func (in *Ingress) Report(b fleet.Beacon) {
+	if b.Upstream != "" {
+		in.policy.Report(in.clock.Now(), policyName(b), b.Load)
+	}
+}
+
+// policyName names an upstream to the policy.
+func policyName(b fleet.Beacon) string { return b.Host + "/" + b.Upstream }
+
+const (
+	// defaultTimeout bounds a request for which neither its caller nor its
+	// route says how long it may take.
+	defaultTimeout = 30 * time.Second
+	// minRetryAfter and retryAfterSpread bound when a refused caller is asked
+	// to come back: soon enough for the latency objectives, and not all at the
+	// same time.
+	minRetryAfter    = 80 * time.Millisecond
+	retryAfterSpread = 120 * time.Millisecond
+)
+
+// Serve implements http1.Handler.
+func (in *Ingress) Serve(ctx context.Context, r *http1.Request, reply *http1.Reply) {
+	s := &session{in: in, request: r, reply: reply, received: in.clock.Now(), headers: platform.ReadRequest(r.Header)}
+	s.table = in.table()
+	if s.table == nil {
+		s.refuse(call.ReasonNoConfig)
+		return
+	}
+	s.route = s.table.Match(r.Host, r.Path())
+	if s.route == nil {
+		s.fail(http.StatusNotFound, call.ReasonNoRoute)
+		return
+	}
+	s.service = s.route.Next()
+	s.timeout = defaultTimeout
+	if bound := s.headers.Timeout(); bound > 0 {
+		s.timeout = bound
+	}
+	if s.route.Timeout > 0 {
+		s.timeout = min(s.timeout, s.route.Timeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	in.budgets.called(s.received, s.service)
+	s.deliver(ctx, s.exchange(ctx))
+}
+
+// jittered returns a time between low and low + spread.
+func (in *Ingress) jittered(low, spread time.Duration) time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return low + time.Duration(in.rng.Int64N(int64(spread)))
+}
--- /dev/null
+++ b/ingress/session.go
@@ -0,0 +1,279 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/route"
+	"github.com/banyancross/banyancross/routing"
+)
+
+const (
+	// maxSelective bounds how many gates may refuse a request because another
+	// upstream would probably answer sooner.
+	maxSelective = 3
+	// maxPicks bounds the gates that are asked.
+	maxPicks = 6
+	// patienceShare is the part of the latency objective that a request may
+	// wait at the last gate that is asked.
+	patienceShare = 0.4
+	// hedgeShare is the part of the latency objective after which an
+	// idempotent request is sent to a second upstream.
+	hedgeShare = 0.5
+	// hedgeReserve is the part of the retry budget that hedges leave for
+	// attempts that failed.
+	hedgeReserve = 0.5
+	// defaultObjective stands for the objective of a route without one.
+	defaultObjective = 500 * time.Millisecond
+	// minAttempt is the least time that is worth another attempt.
+	minAttempt = 10 * time.Millisecond
+)
+
+// session is one request on its way to an answer.
+type session struct {
+	in       *Ingress
+	request  *http1.Request
+	reply    *http1.Reply
+	headers  platform.Request
+	table    *route.Table
+	route    *route.Route
+	service  string
+	received time.Time
+	timeout  time.Duration
+
+	results  chan result
+	tried    map[string]bool
+	live     []*attempt
+	picks    int
+	arrivals int
+	// uncertain tells that an attempt may have run without an answer.
+	uncertain bool
+	// reason is why the latest attempt failed.
+	reason call.Reason
+	// failure is an upstream's own failure, kept in case nothing better comes.
+	failure *result
+	trail   []Step
+}
+
+// attempt is one send to a gate.
+type attempt struct {
+	peer      fleet.Peer
+	cancel    context.CancelFunc
+	started   time.Time
+	hedge     bool
+	selective bool
+	// charged tells that the attempt was taken from the retry budget.
+	charged bool
+	done    bool
+}
+
+// exchange sends the request until it is answered or must not be sent again. It
+// returns nil when there is no upstream's answer.
+func (s *session) exchange(ctx context.Context) *result {
+	s.results = make(chan result, maxPicks+1)
+	s.tried = map[string]bool{}
+	hedge := s.hedgeTimer()
+	defer s.cancelAll()
+	if !s.launch(ctx, false) {
+		s.reason = call.ReasonNoUpstream
+		return nil
+	}
+	for len(s.live) > 0 {
+		select {
+		case r := <-s.results:
+			if s.settle(&r) {
+				return &r
+			}
+			if len(s.live) == 0 && !s.again(ctx) {
+				return s.failure
+			}
+		case <-hedge:
+			hedge = nil
+			s.hedge(ctx)
+		case <-ctx.Done():
+			s.reason = call.ReasonDeadline
+			s.uncertain = true
+			return s.failure
+		}
+	}
+	return s.failure
+}
+
+// settle records a result and tells whether it is the answer.
+func (s *session) settle(r *result) bool {
+	s.retire(r)
+	meta := r.answer.Meta
+	switch {
+	case meta.Outcome == call.Answered && (r.status() < http.StatusInternalServerError || !s.route.Idempotent):
+		return true
+	case meta.Outcome == call.Answered:
+		s.discardFailure()
+		s.failure = r
+		s.reason = call.ReasonFailed
+	case meta.Outcome == call.NotRun && !meta.Ran:
+		s.arrivals--
+		if r.attempt.charged {
+			s.in.budgets.refund(s.in.clock.Now(), s.service)
+		}
+		s.reason = meta.Reason
+	case meta.Outcome == call.NotRun:
+		s.reason = meta.Reason
+	default:
+		s.uncertain = true
+		s.reason = meta.Reason
+	}
+	return false
+}
+
+// retire takes an attempt off the list of those that run.
+func (s *session) retire(r *result) {
+	now := s.in.clock.Now()
+	r.attempt.done = true
+	for i, a := range s.live {
+		if a == r.attempt {
+			s.live = append(s.live[:i], s.live[i+1:]...)
+			break
+		}
+	}
+	meta := r.answer.Meta
+	step := Step{
+		Host: r.attempt.peer.Beacon().Host, Upstream: r.attempt.peer.Beacon().Upstream, Outcome: meta.Outcome,
+		Reason: meta.Reason, Hedge: r.attempt.hedge, At: r.attempt.started.Sub(s.received), Took: now.Sub(r.attempt.started),
+	}
+	if meta.Load != nil {
+		step.Load = *meta.Load
+	}
+	s.trail = append(s.trail, step)
+}
+
+// again sends the request to another upstream, if it may be sent and there is
+// one.
+func (s *session) again(ctx context.Context) bool {
+	if ctx.Err() != nil || (s.uncertain && !s.route.Idempotent) || s.request.Rest != nil {
+		return false
+	}
+	if s.timeout-s.in.clock.Now().Sub(s.received) < minAttempt {
+		return false
+	}
+	return s.launch(ctx, false)
+}
+
+// hedgeTimer fires when a second upstream should be asked; nil never fires.
+func (s *session) hedgeTimer() <-chan time.Time {
+	if !s.route.Idempotent || s.request.Rest != nil || s.route.Attempts < 2 {
+		return nil
+	}
+	return s.in.clock.After(time.Duration(hedgeShare * float64(s.objective())))
+}
+
+func (s *session) objective() time.Duration {
+	if s.route.Objective > 0 {
+		return s.route.Objective
+	}
+	return defaultObjective
+}
+
+// hedge sends the request to a second upstream beside the one that takes long.
+func (s *session) hedge(ctx context.Context) {
+	if len(s.live) != 1 || s.arrivals >= s.route.Attempts {
+		return
+	}
+	s.launch(ctx, true)
+}
+
+// launch sends the request to the best upstream that has not been asked yet.
+func (s *session) launch(ctx context.Context, hedge bool) bool {
+	if s.picks >= maxPicks || s.arrivals >= max(s.route.Attempts, 1) {
+		return false
+	}
+	peers := s.candidates(hedge)
+	if len(peers) == 0 {
+		return false
+	}
+	now := s.in.clock.Now()
+	charged := s.arrivals > 0
+	if charged {
+		reserve := 0.0
+		if hedge {
+			reserve = hedgeReserve
+		}
+		if !s.in.budgets.spend(now, s.service, reserve) {
+			return false
+		}
+	}
+	peer := s.choose(now, peers)
+	name := peer.Beacon().Host
+	// With no other upstream left, a request had better wait than be refused.
+	selective := hedge || (s.picks < maxSelective && len(peers) > 1)
+	s.picks++
+	s.arrivals++
+	s.tried[name] = true
+	a := &attempt{peer: peer, started: now, hedge: hedge, selective: selective, charged: charged}
+	attemptCtx, cancel := context.WithCancel(ctx)
+	a.cancel = cancel
+	s.live = append(s.live, a)
+	s.in.policy.Started(now, policyName(peer.Beacon()))
+	meta, outgoing := s.meta(now, a), s.outgoing()
+	go s.in.attempt(attemptCtx, a, meta, outgoing, s.results)
+	return true
+}
+
+// candidates returns the upstreams to choose from. Those that have refused may
+// be asked once more when no other is left, since what they refused for passes.
+func (s *session) candidates(hedge bool) []fleet.Peer {
+	all := s.in.view.Serving(s.service)
+	fresh := make([]fleet.Peer, 0, len(all))
+	for _, peer := range all {
+		if !s.tried[peer.Beacon().Host] {
+			fresh = append(fresh, peer)
+		}
+	}
+	if len(fresh) > 0 || hedge || s.picks > maxSelective {
+		return fresh
+	}
+	s.picks = maxSelective
+	return all
+}
+
+func (s *session) choose(now time.Time, peers []fleet.Peer) fleet.Peer {
+	candidates := make([]routing.Candidate, len(peers))
+	for i, peer := range peers {
+		b := peer.Beacon()
+		candidates[i] = routing.NewCandidate(policyName(b), b.Slots, 0, b.FailureDomain != s.in.domain)
+	}
+	return peers[s.in.policy.Choose(now, candidates)]
+}
+
+// outgoing returns the request as it is sent.
+func (s *session) outgoing() *egress.Call {
+	return &egress.Call{
+		Method: s.request.Method, Target: s.request.Target, Host: s.request.Host,
+		Header: s.request.Header, Content: s.request.Content, Rest: s.request.Rest,
+	}
+}
+
+// cancelAll ends the attempts whose answer is not wanted any more.
+func (s *session) cancelAll() {
+	for _, a := range s.live {
+		a.cancel()
+	}
+	for range s.live {
+		go func() {
+			r := <-s.results
+			r.discard()
+		}()
+	}
+}
+
+func (s *session) discardFailure() {
+	if s.failure != nil {
+		s.failure.discard()
+		s.failure = nil
+	}
+}
--- /dev/null
+++ b/sidecar/beacons.go
@@ -0,0 +1,150 @@
+package sidecar
+
+import (
+	"net"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/banyancross/banyancross/fleet"
+)
+
+const (
+	// beaconInterval is the usual pause between beacons.
+	beaconInterval = 225 * time.Millisecond
+	// maxBeacon bounds a datagram, in bytes; it stays within one packet.
+	maxBeacon = 1400
+	// beaconGap is the least pause between beacons that tell of a change.
+	beaconGap = 5 * time.Millisecond
+	// pauseNoticed is how late a tick must be to count as a pause of this node.
+	pauseNoticed = 300 * time.Millisecond
+)
+
+// announce sends a beacon soon, because something in it has changed.
+func (s *Sidecar) announce() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// beacon describes this node.
+func (s *Sidecar) beacon() fleet.Beacon {
+	conf := s.settings.Load()
+	b := fleet.Beacon{
+		Host: conf.Host(), Incarnation: s.incarnation, Sequence: s.sequence.Add(1), Calls: conf.Nodes(),
+		Datagrams: conf.Datagrams(), FailureDomain: conf.FailureDomain(),
+		Stopping: s.stopping.Load(), Peers: len(s.view.Peers()),
+	}
+	if table := s.table.Load(); table != nil {
+		b.Revision = table.Revision()
+	}
+	s.gate.Describe(&b)
+	return b
+}
+
+// sendBeacons tells the other nodes about this one.
+func (s *Sidecar) sendBeacons() error {
+	last := s.clock.Now()
+	for {
+		now := s.clock.Now()
+		if late := now.Sub(last) - beaconInterval; late > pauseNoticed {
+			_ = level.Warn(s.logger).Log("event", "paused", "for", late)
+			s.view.Paused(late)
+		}
+		last = now
+		for _, peer := range s.view.Expire(now) {
+			_ = level.Warn(s.logger).Log("event", "node-silent", "node", peer.Beacon().Host, "heard", now.Sub(peer.Heard()))
+			s.hops.reset(peer.Beacon())
+		}
+		s.broadcast()
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case <-s.clock.After(beaconInterval):
+		case <-s.changed:
+			if !s.sleep(beaconGap) {
+				return nil
+			}
+		}
+	}
+}
+
+// broadcast sends one beacon to every known node.
+func (s *Sidecar) broadcast() {
+	b := s.beacon()
+	s.view.Learn(s.clock.Now(), b)
+	s.ingress.Report(b)
+	data, err := b.Encode()
+	if err != nil {
+		_ = level.Error(s.logger).Log("event", "beacon-failed", "err", err)
+		return
+	}
+	for _, peer := range s.view.Peers() {
+		if peer.Beacon().Host != b.Host {
+			s.sendTo(peer.Beacon().Datagrams, data)
+		}
+	}
+}
+
+func (s *Sidecar) sendTo(address string, data []byte) {
+	target, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		_ = level.Error(s.logger).Log("event", "beacon-failed", "address", address, "err", err)
+		return
+	}
+	if _, err := s.socket.WriteToUDP(data, target); err != nil {
+		_ = level.Debug(s.logger).Log("event", "beacon-failed", "address", address, "err", err)
+	}
+}
+
+// receiveBeacons takes what other nodes say of themselves.
+func (s *Sidecar) receiveBeacons() error {
+	buffer := make([]byte, maxBeacon)
+	for {
+		n, _, err := s.socket.ReadFromUDP(buffer)
+		if err != nil {
+			if !s.tomb.Alive() {
+				return nil
+			}
+			if !s.sleep(beaconGap) {
+				return nil
+			}
+			continue
+		}
+		b, err := fleet.Decode(buffer[:n])
+		if err != nil {
+			_ = level.Warn(s.logger).Log("event", "beacon-skipped", "err", err)
+			continue
+		}
+		s.heard(b)
+	}
+}
+
+// heard takes a beacon of another node.
+func (s *Sidecar) heard(b fleet.Beacon) {
+	if b.Host == s.settings.Load().Host() {
+		return
+	}
+	news := s.view.Learn(s.clock.Now(), b)
+	s.ingress.Report(b)
+	if news.Changed || news.Returned {
+		_ = level.Info(s.logger).Log("event", "node", "node", b.Host, "known", news.Known, "restarted", news.Restarted,
+			"returned", news.Returned, "upstream", b.Upstream, "service", b.Service, "phase", b.Phase, "stopping", b.Stopping)
+	}
+	if !news.Known || news.Restarted {
+		// The other node may not know this one yet.
+		s.announce()
+	}
+	if table := s.table.Load(); table == nil && b.Revision > 0 || table != nil && b.Revision > table.Revision() {
+		for _, peer := range s.view.Peers() {
+			if peer.Beacon().Host != b.Host {
+				continue
+			}
+			select {
+			case s.fetches <- peer:
+			default:
+			}
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/handlers.go
@@ -0,0 +1,122 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/platform"
+)
+
+const (
+	// headerTimeout bounds the head of a request of the platform.
+	headerTimeout = 5 * time.Second
+	// maxHeartbeat bounds a heartbeat, in bytes.
+	maxHeartbeat = 64 << 10
+)
+
+// discardLog drops what net/http prints about broken connections.
+var discardLog = stdlog.New(io.Discard, "", 0)
+
+// nodeHandler serves other nodes.
+func (s *Sidecar) nodeHandler() http1.Handler {
+	return &nodeHandler{sidecar: s, gate: egress.NewHandler(s.gate)}
+}
+
+type nodeHandler struct {
+	sidecar *Sidecar
+	gate    *egress.Handler
+}
+
+// Serve implements http1.Handler.
+func (h *nodeHandler) Serve(ctx context.Context, r *http1.Request, reply *http1.Reply) {
+	if r.Target != configurationPath {
+		h.gate.Serve(ctx, r, reply)
+		return
+	}
+	raw := h.sidecar.raw.Load()
+	if raw == nil {
+		_ = reply.Send(http.StatusNotFound, http.Header{}, nil)
+		return
+	}
+	_ = reply.Send(http.StatusOK, http.Header{}, *raw)
+}
+
+// upstreamHandler takes the heartbeats of the upstream on this host.
+func (s *Sidecar) upstreamHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.HeartbeatPath+"{id}", s.heartbeat)
+	mux.HandleFunc("POST "+platform.LeavePath+"{id}", s.leave)
+	return mux
+}
+
+func (s *Sidecar) heartbeat(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxHeartbeat))
+	if err != nil {
+		return
+	}
+	h, err := platform.DecodeHeartbeat(r.PathValue("id"), data)
+	if err != nil {
+		_ = level.Warn(s.logger).Log("event", "heartbeat-skipped", "err", err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if h.Service() != s.service() {
+		s.Reload()
+	}
+	if h.Service() != s.service() || !s.gate.Heartbeat(h) {
+		_ = level.Warn(s.logger).Log("event", "heartbeat-skipped", "upstream", h.Instance(), "service", h.Service())
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	acknowledge(w)
+}
+
+func (s *Sidecar) leave(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxHeartbeat))
+	if err != nil {
+		return
+	}
+	started, err := platform.DecodeLeave(r.PathValue("id"), data)
+	if err != nil {
+		_ = level.Warn(s.logger).Log("event", "leave-skipped", "err", err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.gate.Leave(r.PathValue("id"), started)
+	acknowledge(w)
+}
+
+func acknowledge(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, "{}")
+}
+
+// readyHandler tells whether callers should send requests to this node.
+func (s *Sidecar) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Ready tells whether the node takes requests: it has a configuration and has
+// looked for the other nodes, and does not stop.
+func (s *Sidecar) Ready() bool {
+	return s.table.Load() != nil && !s.stopping.Load() && (s.viewed.Load() || len(s.view.Peers()) > 1)
+}
+
+func (s *Sidecar) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", s.metrics)
+	return mux
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,258 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"gopkg.in/tomb.v2"
+
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/ingress"
+	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/route"
+	"github.com/banyancross/banyancross/settings"
+)
+
+// Clock tells the time and waits.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error)
+	WatchFor(ctx context.Context, key string, last platform.Entry, wait time.Duration) (platform.Entry, error)
+	PutLeased(ctx context.Context, key string, value []byte, lease uint64) error
+	Grant(ctx context.Context, duration time.Duration) (uint64, error)
+	Keep(ctx context.Context, lease uint64) error
+	Calls() uint64
+}
+
+// Sidecar is the process beside a backend server.
+type Sidecar struct {
+	clock       Clock
+	logger      log.Logger
+	store       Store
+	incarnation int64
+	metrics     http.Handler
+	observe     func(ingress.Observation)
+	reread      func() (*settings.Sidecar, error)
+
+	settings atomic.Pointer[settings.Sidecar]
+	table    atomic.Pointer[route.Table]
+	raw      atomic.Pointer[[]byte]
+	sequence atomic.Uint64
+	stopping atomic.Bool
+	// viewed tells that the other nodes were looked up once.
+	viewed atomic.Bool
+
+	view    *fleet.View
+	gate    *egress.Gate
+	ingress *ingress.Ingress
+	hops    *hops
+	callers *http1.Server
+	nodes   *http1.Server
+	servers []*http.Server
+	socket  *net.UDPConn
+	changed chan struct{}
+	fetches chan fleet.Peer
+	tomb    tomb.Tomb
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// Option configures a Sidecar.
+type Option func(*Sidecar)
+
+// WithClock sets the clock.
+func WithClock(clock Clock) Option { return func(s *Sidecar) { s.clock = clock } }
+
+// WithLogger sets where log lines go.
+func WithLogger(logger log.Logger) Option { return func(s *Sidecar) { s.logger = logger } }
+
+// WithStore sets the client of the platform.
+func WithStore(store Store) Option { return func(s *Sidecar) { s.store = store } }
+
+// WithMetrics sets the handler of /metrics.
+func WithMetrics(metrics http.Handler) Option { return func(s *Sidecar) { s.metrics = metrics } }
+
+// WithObserver calls observe after each request of a caller.
+func WithObserver(observe func(ingress.Observation)) Option {
+	return func(s *Sidecar) { s.observe = observe }
+}
+
+// WithReread sets how changed settings are read.
+func WithReread(reread func() (*settings.Sidecar, error)) Option {
+	return func(s *Sidecar) { s.reread = reread }
+}
+
+// systemClock is the clock of the operating system.
+type systemClock struct{}
+
+func (systemClock) Now() time.Time                         { return time.Now() }
+func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// New binds the addresses of the settings and starts the node.
+func New(conf *settings.Sidecar, options ...Option) (*Sidecar, error) {
+	s := &Sidecar{
+		clock: systemClock{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
+		observe: func(ingress.Observation) {}, view: fleet.NewView(),
+		changed: make(chan struct{}, 1), fetches: make(chan fleet.Peer, 1),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	if s.store == nil {
+		s.store = platform.NewClient(conf.Platform())
+	}
+	s.settings.Store(conf)
+	s.incarnation = s.clock.Now().UnixNano()
+	s.logger = log.With(s.logger, "host", conf.Host())
+	s.gate = egress.NewGate(conf.Backend(), s.table.Load, egress.WithClock(s.clock),
+		egress.WithLogger(s.logger), egress.WithNotify(s.announce))
+	s.hops = newHops(s.clock, conf.Host(), s.gate)
+	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.hops,
+		ingress.WithClock(s.clock), ingress.WithLogger(s.logger), ingress.WithObserver(s.observe),
+		ingress.WithBudget(ingress.Budget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
+	if err := s.listen(conf); err != nil {
+		s.Kill()
+		return nil, err
+	}
+	s.start()
+	_ = level.Info(s.logger).Log("event", "started", "failure-domain", conf.FailureDomain(), "service", conf.Service(),
+		"callers", conf.Callers(), "incarnation", s.incarnation)
+	return s, nil
+}
+
+// service returns the service of this host.
+func (s *Sidecar) service() string { return s.settings.Load().Service() }
+
+const (
+	// nodeHeaderBytes and nodeBodyBytes bound what another node may send. They
+	// leave room for what nodes add to a caller's request.
+	nodeHeaderBytes = 1 << 20
+	nodeBodyBytes   = 1 << 30
+	// nodeIdleTimeout is longer than nodes keep connections to each other, so
+	// that the one that sends closes first.
+	nodeIdleTimeout = time.Minute
+	// firstHeaderBytes, firstBodyBytes, firstHeaderTimeout and firstIdleTimeout
+	// bound callers before the first configuration.
+	firstHeaderBytes   = 16 << 10
+	firstBodyBytes     = 64 << 20
+	firstHeaderTimeout = 3 * time.Second
+	firstIdleTimeout   = 15 * time.Second
+)
+
+// listen binds the addresses.
+func (s *Sidecar) listen(conf *settings.Sidecar) error {
+	failed := func(err error) error { return &Error{op: "start", kind: KindListen, err: err} }
+	address, err := net.ResolveUDPAddr("udp", conf.Datagrams())
+	if err != nil {
+		return failed(err)
+	}
+	if s.socket, err = net.ListenUDP("udp", address); err != nil {
+		return failed(err)
+	}
+	callers, err := net.Listen("tcp", conf.Callers())
+	if err != nil {
+		return failed(err)
+	}
+	s.callers = http1.NewServer(callers, s.ingress, s.callerLimits)
+	nodes, err := net.Listen("tcp", conf.Nodes())
+	if err != nil {
+		return failed(err)
+	}
+	s.nodes = http1.NewServer(nodes, s.nodeHandler(), func() http1.Limits {
+		return http1.Limits{HeaderBytes: nodeHeaderBytes, BodyBytes: nodeBodyBytes, IdleTimeout: nodeIdleTimeout}
+	})
+	for _, binding := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{conf.Upstream(), s.upstreamHandler()},
+		{conf.Ready(), s.readyHandler()},
+		{conf.Metrics(), s.metricsHandler()},
+	} {
+		listener, err := net.Listen("tcp", binding.address)
+		if err != nil {
+			return failed(err)
+		}
+		server := &http.Server{Handler: binding.handler, ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog}
+		s.servers = append(s.servers, server)
+		s.tomb.Go(func() error {
+			_ = server.Serve(listener)
+			return nil
+		})
+	}
+	return nil
+}
+
+// callerLimits are the bounds on callers that are in force.
+func (s *Sidecar) callerLimits() http1.Limits {
+	limits := http1.Limits{
+		HeaderBytes: firstHeaderBytes, BodyBytes: firstBodyBytes,
+		HeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout,
+	}
+	table := s.table.Load()
+	if table == nil {
+		return limits
+	}
+	l := table.Limits()
+	if l.HeaderBytes > 0 {
+		limits.HeaderBytes = l.HeaderBytes
+	}
+	if l.BodyBytes > 0 {
+		limits.BodyBytes = l.BodyBytes
+	}
+	if l.HeaderTimeout > 0 {
+		limits.HeaderTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		limits.IdleTimeout = l.IdleTimeout
+	}
+	return limits
+}
+
+// start runs the loops.
+func (s *Sidecar) start() {
+	s.tomb.Go(s.watchConfiguration)
+	s.tomb.Go(s.register)
+	s.tomb.Go(s.sendBeacons)
+	s.tomb.Go(s.receiveBeacons)
+	s.tomb.Go(s.fetchConfigurations)
+}
+
+// sleep waits and tells whether the node still runs.
+func (s *Sidecar) sleep(d time.Duration) bool {
+	select {
+	case <-s.tomb.Dying():
+		return false
+	case <-s.clock.After(d):
+		return true
+	}
+}
+
+// context returns a context that ends with the node.
+func (s *Sidecar) context() context.Context {
+	//nolint:staticcheck // tomb asks for nil to give the context that ends with it.
+	return s.tomb.Context(nil)
+}
+
+// jittered returns a duration between three and five quarters of d.
+func (s *Sidecar) jittered(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return d*3/4 + time.Duration(s.rng.Int64N(int64(d/2)+1))
+}
