standin: speak the platform's store protocol

The stand-in spoke another store's HTTP API, which the client no longer does. It now has ranges, watches with a history that can be dropped, transactions, and leases that lapse, and can refuse the calls of single addresses.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,18 +11,34 @@
 	"time"
 )
 
-const maxValue = 1 << 20
+const (
+	// maxValue is the largest value that is stored, in bytes.
+	maxValue = 1 << 20
+	// maxChange bounds the body of a change, whose values are in base64.
+	maxChange = 8 << 20
+	// pageItems is how many items a page holds.
+	pageItems = 500
+	// maxWait is the longest time that a watch waits.
+	maxWait = 30 * time.Second
+)
 
-// Platform is a stand-in for the platform's key-value service: the part of
-// Consul's HTTP API that package platform uses, in memory.
+// Platform is a stand-in for the platform's key-value service, in memory. It
+// can be down, slow or deaf to some callers, lose its answers and its history,
+// and end leases.
 type Platform struct {
 	mu       sync.Mutex
-	index    uint64
+	revision uint64
 	values   map[string]value
+	history  []event
+	// kept is the revision after which history is complete.
+	kept     uint64
+	leases   map[uint64]*lease
+	granted  uint64
 	changed  chan struct{}
 	down     bool
 	delay    time.Duration
 	lose     int
+	deaf     map[string]bool
 	stopped  chan struct{}
 	stopOnce sync.Once
 
@@ -32,13 +48,32 @@
 }
 
 type value struct {
-	data  []byte
-	index uint64
+	data    []byte
+	rev     uint64
+	created uint64
+	lease   uint64
+}
+
+type event struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Rev     uint64 `json:"rev"`
+	Created uint64 `json:"created_at,omitempty"`
+	Lease   uint64 `json:"lease"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type lease struct {
+	duration time.Duration
+	ends     time.Time
 }
 
 // NewPlatform returns an empty Platform.
 func NewPlatform() *Platform {
-	return &Platform{values: map[string]value{}, changed: make(chan struct{}), stopped: make(chan struct{})}
+	return &Platform{
+		revision: 1, values: map[string]value{}, leases: map[uint64]*lease{}, deaf: map[string]bool{},
+		changed: make(chan struct{}), stopped: make(chan struct{}),
+	}
 }
 
 // SetDown makes every call fail, or not.
@@ -56,6 +91,14 @@
 	p.delay = delay
 }
 
+// SetDeaf refuses the calls from one IP address, or serves them again.
+func (p *Platform) SetDeaf(address string, deaf bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deaf[address] = deaf
+	p.wake()
+}
+
 // LoseAnswers applies the next n writes and cuts the connection in place of
 // confirming them.
 func (p *Platform) LoseAnswers(n int) {
@@ -64,6 +107,32 @@
 	p.lose = n
 }
 
+// Compact drops the history, so that watches have to begin anew.
+func (p *Platform) Compact() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.history, p.kept = nil, p.revision
+	p.wake()
+}
+
+// EndLeases ends all leases at once.
+func (p *Platform) EndLeases() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for number := range p.leases {
+		p.endLease(number)
+	}
+}
+
+// Store writes a key as the operators do, without any condition.
+func (p *Platform) Store(key string, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.set(key, data, 0)
+	p.wake()
+}
+
 // Calls returns how many reads, writes and watches were made.
 func (p *Platform) Calls() (reads, writes, watches uint64) {
 	return p.reads.Load(), p.writes.Load(), p.watches.Load()
@@ -80,7 +149,8 @@
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	down, delay := p.down, p.delay
+	down, delay := p.down || p.deaf[hostOf(r)], p.delay
+	p.expire(time.Now())
 	p.mu.Unlock()
 	if down {
 		panic(http.ErrAbortHandler)
@@ -92,69 +162,105 @@
 			return
 		}
 	}
-	key, ok := strings.CutPrefix(r.URL.Path, "/v1/kv/")
-	if !ok {
-		http.NotFound(w, r)
-		return
-	}
-	switch r.Method {
-	case http.MethodGet:
-		p.get(w, r, key)
-	case http.MethodPut:
-		p.put(w, r, key)
+	switch path := r.URL.Path; {
+	case r.Method == http.MethodGet && path == "/kv-key":
+		p.key(w, r)
+	case r.Method == http.MethodGet && path == "/kv-range":
+		p.list(w, r)
+	case r.Method == http.MethodGet && path == "/kv-watch":
+		p.watch(w, r)
+	case r.Method == http.MethodPost && path == "/kv-txn":
+		p.change(w, r)
+	case r.Method == http.MethodPost && path == "/kv-lease":
+		p.grant(w, r)
+	case r.Method == http.MethodPost && strings.HasPrefix(path, "/kv-keep/"):
+		p.keep(w, strings.TrimPrefix(path, "/kv-keep/"))
+	case r.Method == http.MethodDelete && strings.HasPrefix(path, "/kv-lease-end/"):
+		p.end(w, strings.TrimPrefix(path, "/kv-lease-end/"))
 	default:
-		w.WriteHeader(http.StatusMethodNotAllowed)
+		http.NotFound(w, r)
 	}
 }
 
-func (p *Platform) get(w http.ResponseWriter, r *http.Request, key string) {
-	query := r.URL.Query()
-	if query.Get("index") != "" {
-		p.watches.Add(1)
-		p.wait(r, key)
-	} else {
-		p.reads.Add(1)
-	}
+func hostOf(r *http.Request) string {
+	host, _, _ := strings.Cut(r.RemoteAddr, ":")
+	return host
+}
+
+func writeJSON(w http.ResponseWriter, status int, document any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(document)
+}
+
+func (p *Platform) key(w http.ResponseWriter, r *http.Request) {
+	p.reads.Add(1)
+	key := r.URL.Query().Get("key")
 	p.mu.Lock()
 	found, ok := p.values[key]
-	index, down := p.index, p.down
+	revision := p.revision
 	p.mu.Unlock()
-	if down {
-		panic(http.ErrAbortHandler)
-	}
 	if !ok {
-		w.Header().Set("X-Consul-Index", strconv.FormatUint(max(index, 1), 10))
-		w.WriteHeader(http.StatusNotFound)
+		writeJSON(w, http.StatusNotFound, map[string]any{"as_of": revision})
 		return
 	}
-	w.Header().Set("X-Consul-Index", strconv.FormatUint(found.index, 10))
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode([]map[string]any{{
-		"Key": key, "Value": found.data, "ModifyIndex": found.index, "CreateIndex": 1, "LockIndex": 0, "Flags": 0,
-	}})
+	writeJSON(w, http.StatusOK, map[string]any{
+		"key": key, "value": found.data, "rev": found.rev, "created_at": found.created,
+		"lease": found.lease, "as_of": revision,
+	})
 }
 
-// wait blocks until the key has a later index than the query's.
-func (p *Platform) wait(r *http.Request, key string) {
-	last, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
-	limit, err := time.ParseDuration(r.URL.Query().Get("wait"))
-	if err != nil {
-		limit = time.Minute
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	p.reads.Add(1)
+	query := r.URL.Query()
+	p.mu.Lock()
+	items := []event{}
+	for key, v := range p.values {
+		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
+			items = append(items, event{Key: key, Value: v.data, Rev: v.rev, Created: v.created, Lease: v.lease})
+		}
+	}
+	revision := p.revision
+	p.mu.Unlock()
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	more := len(items) > pageItems
+	if more {
+		items = items[:pageItems]
 	}
-	timer := time.NewTimer(limit)
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "as_of": revision})
+}
+
+// watch answers with the events behind a revision as soon as there are any.
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	p.watches.Add(1)
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	milliseconds, err2 := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	if err != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(milliseconds)*time.Millisecond, maxWait))
 	defer timer.Stop()
-	for {
+	for done := false; ; {
 		p.mu.Lock()
-		changed := p.changed
-		pending := p.values[key].index <= last && !p.down
+		changed, down, gone, revision := p.changed, p.down || p.deaf[hostOf(r)], after < p.kept, p.revision
+		events := p.since(query.Get("prefix"), after)
 		p.mu.Unlock()
-		if !pending {
+		switch {
+		case down:
+			panic(http.ErrAbortHandler)
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 || done:
+			writeJSON(w, http.StatusOK, map[string]any{"events": events, "as_of": revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return
+			done = true
 		case <-r.Context().Done():
 			return
 		case <-p.stopped:
@@ -163,32 +269,13 @@
 	}
 }
 
-func (p *Platform) put(w http.ResponseWriter, r *http.Request, key string) {
-	p.writes.Add(1)
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxValue+1))
-	if err != nil || len(data) > maxValue {
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
-	}
-	version, err := strconv.ParseUint(r.URL.Query().Get("cas"), 10, 64)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	p.mu.Lock()
-	done := p.values[key].index == version
-	if done {
-		p.index++
-		p.values[key] = value{data: data, index: p.index}
-		p.wake()
-	}
-	lost := p.lose > 0
-	if lost {
-		p.lose--
-	}
-	p.mu.Unlock()
-	if lost {
-		panic(http.ErrAbortHandler)
+// since returns the events of a prefix behind a revision; p.mu is held.
+func (p *Platform) since(prefix string, after uint64) []event {
+	events := []event{}
+	for _, e := range p.history {
+		if e.Rev > after && strings.HasPrefix(e.Key, prefix) {
+			events = append(events, e)
+		}
 	}
-	_, _ = io.WriteString(w, strconv.FormatBool(done))
+	return events
 }
