--- a/cmd/banyancross/sidecar.go
+++ b/cmd/banyancross/sidecar.go
@@ -33,7 +33,9 @@
 	debug.SetMemoryLimit(int64(sidecarMemoryShare * float64(conf.Memory()) * megabyte))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	s, err := sidecar.New(conf, sidecar.WithLogger(telemetry.NewLogger(c.out, conf.LogLevel())),
+	output := telemetry.NewOutput(c.out)
+	defer output.Close()
+	s, err := sidecar.New(conf, sidecar.WithLogger(telemetry.NewLogger(output, conf.LogLevel())),
 		sidecar.WithReread(func() (*settings.Sidecar, error) { return settings.ReadSidecar(command.Settings) }))
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -75,8 +75,10 @@
 	address string
 	table   func() *route.Table
 	notify  func()
-	dial    http1.Dial
-	tomb    tomb.Tomb
+	// notifyLoad is called when callers should choose differently.
+	notifyLoad func()
+	dial       http1.Dial
+	tomb       tomb.Tomb
 
 	mu        sync.Mutex
 	upstream  upstream
@@ -85,6 +87,10 @@
 	stopping  bool
 	health    health
 	departed  map[departure]struct{}
+	runs      map[string]Run
+	calls     callCounts
+	notified  notified
+	callers   map[string]time.Time
 	probes    uint64
 	opened    uint64
 }
@@ -101,6 +107,10 @@
 // WithNotify calls notify whenever the upstream's phase changes.
 func WithNotify(notify func()) Option { return func(g *Gate) { g.notify = notify } }
 
+// WithLoadNotify calls notify whenever the upstream's load changes so much that
+// its callers should choose differently.
+func WithLoadNotify(notify func()) Option { return func(g *Gate) { g.notifyLoad = notify } }
+
 // systemClock is the clock of the operating system.
 type systemClock struct{}
 
@@ -114,7 +124,8 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	g := &Gate{
 		clock: systemClock{}, logger: log.NewNopLogger(), address: address, table: table, notify: func() {},
-		departed: map[departure]struct{}{},
+		departed: map[departure]struct{}{}, runs: map[string]Run{},
+		callers: map[string]time.Time{}, notifyLoad: func() {},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -167,7 +178,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b.Service, b.Upstream, b.Slots = g.upstream.service, g.upstream.instance, g.upstream.slots
-	b.Phase, b.Load = g.phase(), g.load(g.clock.Now())
+	b.Phase, b.Load, b.Fanout = g.phase(), g.load(g.clock.Now()), g.calls.fanout()
 }
 
 // phase is what other nodes are told; g.mu is held.
@@ -185,8 +196,9 @@
 
 // Do runs one attempt. The answer is never nil, and its Finish must be called.
 func (g *Gate) Do(ctx context.Context, meta hop.Meta, c *Call) *Answer {
+	g.calledBy(meta.From)
 	answer := g.do(ctx, meta, c)
-	load := g.Load()
+	load := g.noteLoad()
 	answer.Meta.ID, answer.Meta.Gate, answer.Meta.Load = meta.ID, true, &load
 	if table := g.table(); table != nil {
 		answer.Meta.Revision = table.Revision()
@@ -280,9 +292,12 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining+answerMargin)
+	ended := g.track(meta)
 	finish := func(answered bool) {
 		cancel()
+		ended()
 		pass.End(g.clock.Now(), answered)
+		g.noteLoad()
 	}
 	response, err := a.pool.Do(ctx, g.outgoing(a, meta, c, remaining))
 	if err != nil {
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -201,6 +201,7 @@
 		g.health.report(now, load.Slowdown)
 	}
 	g.mu.Unlock()
+	g.noteLoad()
 	if idle > idleMargin {
 		a.pool.SetIdle(idle - idleMargin)
 	}
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -55,6 +55,8 @@
 	Revision uint64 `cbor:"12,keyasint,omitempty"`
 	// Stopping tells that the node ends soon.
 	Stopping bool `cbor:"13,keyasint,omitempty"`
+	// Fanout is how many calls a run at the upstream makes to other upstreams.
+	Fanout float32 `cbor:"15,keyasint,omitempty"`
 	// Peers counts the nodes that the sender knows.
 	Peers int `cbor:"14,keyasint,omitempty"`
 }
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -45,6 +45,10 @@
 	// Selective asks the gate to refuse while another upstream would probably
 	// answer sooner.
 	Selective bool `cbor:"15,keyasint,omitempty"`
+	// Repeated tells that the call may already have run at another upstream.
+	Repeated bool `cbor:"16,keyasint,omitempty"`
+	// From is the host of the entry node.
+	From string `cbor:"17,keyasint,omitempty"`
 }
 
 // Encode returns the header value that carries the metadata.
--- a/http1/server.go
+++ b/http1/server.go
@@ -111,6 +111,9 @@
 	}
 }
 
+// CloseListener takes no further connections.
+func (s *Server) CloseListener() { _ = s.listener.Close() }
+
 // Close stops the listener and cuts all connections.
 func (s *Server) Close() {
 	s.tomb.Kill(nil)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -66,9 +66,37 @@
 		ID: s.headers.ID(), Service: s.service, Upstream: b.Upstream, Remaining: remaining,
 		Idempotent: s.route.Idempotent, Received: s.received, Revision: s.table.Revision(),
 		Caller: s.in.caller(), Priority: s.route.Priority, Selective: a.selective,
+		Depth: s.depth, Repeated: a.charged, From: s.in.host,
 	}
 	if !a.selective {
-		meta.Patience = min(time.Duration(patienceShare*float64(s.objective())), remaining/2)
+		meta.Patience = min(s.patience(now), remaining/2)
 	}
 	return meta
 }
+
+// patience is how long the request may wait at a gate and still be answered
+// within its objective, if its run takes as long as usual.
+func (s *session) patience(now time.Time) time.Duration {
+	objective := float64(s.objective())
+	spare := s.objective() - now.Sub(s.received) - s.in.typical(s.route.Name)
+	return min(max(spare, time.Duration(minPatience*objective)), time.Duration(maxPatience*objective))
+}
+
+// typical returns how long an attempt of a route usually takes.
+func (in *Ingress) typical(name string) time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.times[name]
+}
+
+// took records how long an attempt took that was answered.
+func (in *Ingress) took(name string, elapsed time.Duration) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	known, ok := in.times[name]
+	if !ok {
+		in.times[name] = elapsed
+		return
+	}
+	in.times[name] = known + time.Duration(typicalWeight*float64(elapsed-known))
+}
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -16,12 +16,15 @@
 }
 
 const (
-	// ratioShare is the part of the ratio that a node spends itself. Calls that
-	// a repeated run makes count as repeats too, and no node sees them as such.
-	ratioShare = 0.6
-	// slackShare is the part of the slack that the nodes spend together. A node
-	// that does not see all others would take too large a share.
-	slackShare = 0.6
+	// leafShare is the part of the budget that is spent on upstreams that call
+	// no others; the rest is for what the nodes do not know of each other.
+	leafShare = 0.75
+	// parentShare is that for upstreams that call others: the calls of a repeat
+	// are repeats at the services that are called.
+	parentShare = 0.4
+	// leafFanout is the number of calls to a run up to which an upstream counts
+	// as one that calls no others.
+	leafFanout = 0.1
 	// buckets divide the window.
 	buckets = 10
 )
@@ -73,9 +76,17 @@
 	s.calls[s.bucket%buckets]++
 }
 
+// repeated records a call that a repeated run makes, which counts as a repeat.
+func (b *budgets) repeated(now time.Time, name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(now, name)
+	s.repeats[s.bucket%buckets]++
+}
+
 // spend takes one repeat, and tells whether there was one left. reserve is the
 // part of the budget that must stay for others.
-func (b *budgets) spend(now time.Time, name string, reserve float64) bool {
+func (b *budgets) spend(now time.Time, name string, fanout float32, reserve float64) bool {
 	peers := len(b.view.Peers()) + 1
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -85,7 +96,11 @@
 		calls += s.calls[i]
 		repeats += s.repeats[i]
 	}
-	allowed := ratioShare*b.bounds.Ratio*calls + slackShare*b.bounds.Slack/float64(peers)
+	share := leafShare
+	if fanout > leafFanout {
+		share = parentShare
+	}
+	allowed := share * (b.bounds.Ratio*calls + b.bounds.Slack/float64(peers))
 	if repeats+1 > allowed*(1-reserve) {
 		return false
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -73,9 +73,13 @@
 	policy  *routing.Reporting
 	budgets *budgets
 	observe func(Observation)
+	parent  func(id string) (egress.Run, bool)
+	host    string
 
 	mu  sync.Mutex
 	rng *rand.Rand
+	// times holds how long attempts of each route usually take.
+	times map[string]time.Duration
 }
 
 // Option configures an Ingress.
@@ -92,6 +96,14 @@
 	return func(in *Ingress) { in.observe = observe }
 }
 
+// WithCallers sets how the run that makes a call is found.
+func WithCallers(parent func(id string) (egress.Run, bool)) Option {
+	return func(in *Ingress) { in.parent = parent }
+}
+
+// WithHost sets the name by which gates know this node.
+func WithHost(host string) Option { return func(in *Ingress) { in.host = host } }
+
 // WithBudget sets the bounds on retries that all nodes share.
 func WithBudget(b Budget) Option { return func(in *Ingress) { in.budgets = newBudgets(b, in.view) } }
 
@@ -112,8 +124,9 @@
 func New(domain string, table func() *route.Table, caller func() string, view *fleet.View, sender Sender, options ...Option) *Ingress {
 	in := &Ingress{
 		clock: systemClock{}, logger: log.NewNopLogger(), table: table, caller: caller, domain: domain,
-		view: view, sender: sender, observe: func(Observation) {},
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		view: view, sender: sender, observe: func(Observation) {}, times: map[string]time.Duration{},
+		parent: func(string) (egress.Run, bool) { return egress.Run{}, false },
+		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	in.budgets = newBudgets(Budget{}, view)
 	for _, option := range options {
@@ -167,7 +180,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	in.budgets.called(s.received, s.service)
+	if run, ok := in.parent(s.headers.Parent()); ok {
+		s.depth = run.Depth + 1
+		if run.Repeated {
+			in.budgets.repeated(s.received, s.service)
+		}
+	} else {
+		in.budgets.called(s.received, s.service)
+	}
 	s.deliver(ctx, s.exchange(ctx))
 }
 
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -20,9 +20,12 @@
 	maxSelective = 3
 	// maxPicks bounds the gates that are asked.
 	maxPicks = 6
-	// patienceShare is the part of the latency objective that a request may
-	// wait at the last gate that is asked.
-	patienceShare = 0.4
+	// maxPatience and minPatience are the parts of the latency objective that a
+	// request may wait at the last gate that is asked.
+	maxPatience = 0.4
+	minPatience = 0.15
+	// typicalWeight is the weight of a new sample in a route's typical time.
+	typicalWeight = 0.05
 	// hedgeShare is the part of the latency objective after which an
 	// idempotent request is sent to a second upstream.
 	hedgeShare = 0.5
@@ -46,6 +49,8 @@
 	service  string
 	received time.Time
 	timeout  time.Duration
+	// depth counts the calls above this one in its chain.
+	depth int
 
 	results  chan result
 	tried    map[string]bool
@@ -111,6 +116,7 @@
 	meta := r.answer.Meta
 	switch {
 	case meta.Outcome == call.Answered && (r.status() < http.StatusInternalServerError || !s.route.Idempotent):
+		s.in.took(s.route.Name, s.in.clock.Now().Sub(r.attempt.started))
 		return true
 	case meta.Outcome == call.Answered:
 		s.discardFailure()
@@ -193,7 +199,7 @@
 		return false
 	}
 	peers := s.candidates(hedge)
-	if len(peers) == 0 {
+	if len(peers) == 0 || (hedge && peers[0].Beacon().Fanout > leafFanout) {
 		return false
 	}
 	now := s.in.clock.Now()
@@ -203,7 +209,7 @@
 		if hedge {
 			reserve = hedgeReserve
 		}
-		if !s.in.budgets.spend(now, s.service, reserve) {
+		if !s.in.budgets.spend(now, s.service, peers[0].Beacon().Fanout, reserve) {
 			return false
 		}
 	}
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// announceLoad sends a beacon soon to the nodes that send calls here.
+func (s *Sidecar) announceLoad() {
+	select {
+	case s.loaded <- struct{}{}:
+	default:
+	}
+}
+
 // beacon describes this node.
 func (s *Sidecar) beacon() fleet.Beacon {
 	conf := s.settings.Load()
@@ -58,20 +66,39 @@
 			s.hops.reset(peer.Beacon())
 		}
 		s.broadcast()
-		select {
-		case <-s.tomb.Dying():
-			return nil
-		case <-s.clock.After(beaconInterval):
-		case <-s.changed:
-			if !s.sleep(beaconGap) {
+		next := s.clock.After(beaconInterval)
+		for waiting := true; waiting; {
+			select {
+			case <-s.tomb.Dying():
 				return nil
+			case <-next:
+				waiting = false
+			case <-s.changed:
+				if !s.sleep(beaconGap) {
+					return nil
+				}
+				waiting = false
+			case <-s.loaded:
+				s.tellCallers()
 			}
 		}
 	}
 }
 
+// tellCallers sends a beacon to the nodes that send calls here.
+func (s *Sidecar) tellCallers() {
+	callers := map[string]bool{}
+	for _, host := range s.gate.Callers() {
+		callers[host] = true
+	}
+	s.send(func(b fleet.Beacon) bool { return callers[b.Host] })
+}
+
 // broadcast sends one beacon to every known node.
-func (s *Sidecar) broadcast() {
+func (s *Sidecar) broadcast() { s.send(func(fleet.Beacon) bool { return true }) }
+
+// send sends one beacon to the nodes that are wanted.
+func (s *Sidecar) send(wanted func(fleet.Beacon) bool) {
 	b := s.beacon()
 	s.view.Learn(s.clock.Now(), b)
 	s.ingress.Report(b)
@@ -81,7 +108,7 @@
 		return
 	}
 	for _, peer := range s.view.Peers() {
-		if peer.Beacon().Host != b.Host {
+		if peer.Beacon().Host != b.Host && wanted(peer.Beacon()) {
 			s.sendTo(peer.Beacon().Datagrams, data)
 		}
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,6 +65,7 @@
 	servers []*http.Server
 	socket  *net.UDPConn
 	changed chan struct{}
+	loaded  chan struct{}
 	fetches chan fleet.Peer
 	tomb    tomb.Tomb
 
@@ -108,7 +109,7 @@
 	s := &Sidecar{
 		clock: systemClock{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
 		observe: func(ingress.Observation) {}, view: fleet.NewView(),
-		changed: make(chan struct{}, 1), fetches: make(chan fleet.Peer, 1),
+		changed: make(chan struct{}, 1), loaded: make(chan struct{}, 1), fetches: make(chan fleet.Peer, 1),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
@@ -121,10 +122,11 @@
 	s.incarnation = s.clock.Now().UnixNano()
 	s.logger = log.With(s.logger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.Backend(), s.table.Load, egress.WithClock(s.clock),
-		egress.WithLogger(s.logger), egress.WithNotify(s.announce))
+		egress.WithLogger(s.logger), egress.WithNotify(s.announce), egress.WithLoadNotify(s.announceLoad))
 	s.hops = newHops(s.clock, conf.Host(), s.gate)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.hops,
-		ingress.WithClock(s.clock), ingress.WithLogger(s.logger), ingress.WithObserver(s.observe),
+		ingress.WithClock(s.clock), ingress.WithLogger(s.logger), ingress.WithCallers(s.gate.Caller), ingress.WithHost(conf.Host()),
+		ingress.WithObserver(newRequestLog(s).observe),
 		ingress.WithBudget(ingress.Budget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
 	if err := s.listen(conf); err != nil {
 		s.Kill()
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -10,6 +10,9 @@
 	// callersLeave is how long callers may take to notice that the node is not
 	// ready any more: two questions, a second apart, and some slack.
 	callersLeave = 2300 * time.Millisecond
+	// doorsClose is when the node stops taking connections. Callers may have
+	// nowhere else to go, and what comes later could not be ended in time.
+	doorsClose = 3 * time.Second
 	// gateLeaves is how long the gate goes on to take calls of other nodes.
 	gateLeaves = 1500 * time.Millisecond
 	// retirePause is the pause between looks at what is still in progress.
@@ -40,6 +43,10 @@
 	s.callers.Drain()
 	quietSince := s.clock.Now()
 	for elapsed() < limit {
+		if elapsed() > min(doorsClose, limit/2) {
+			s.callers.CloseListener()
+			s.callers.Retire()
+		}
 		if s.gate.Running() > 0 || s.callers.Active() > 0 || s.nodes.Active() > 0 {
 			quietSince = s.clock.Now()
 		} else {
