egress, ingress: confirm upstreams at once, run cold ones at full width

Cold upstreams ran a quarter of their slots, and since all of them report a slowdown of 2, every selective call was refused.

Change: an unconfirmed upstream is probed every 50 ms; the capacity ramp of cold upstreams is gone; slow is relative to the fastest upstream of the service.

--- a/egress/gate.go
+++ b/egress/gate.go
@@ -23,7 +23,8 @@
 	// knee is the share of the slots above which backend servers slow down;
 	// calls of other upstreams may use the rest.
 	knee = 0.8
-	// slowed is the slowdown from which a selective call is refused.
+	// slowed is how many times slower than the fastest upstream of its service
+	// an upstream must be to refuse a selective call.
 	slowed = 2.0
 	// slowdownLife is how long a report of the host's speed is believed.
 	slowdownLife = 150 * time.Millisecond
@@ -246,7 +247,7 @@
 		return admitted{}, call.ReasonNotReady
 	case g.phase() == fleet.Draining:
 		return admitted{}, call.ReasonLeaving
-	case meta.Selective && g.health.slowdownAt(now) >= slowed:
+	case meta.Selective && g.health.slowdownAt(now) >= slowed*max(1, float64(meta.Fastest)):
 		return admitted{}, call.ReasonSlowed
 	case meta.Selective && g.health.failing(now) && !g.health.sample():
 		return admitted{}, call.ReasonFailing
--- a/egress/health.go
+++ b/egress/health.go
@@ -7,8 +7,9 @@
 	// within the operators' budget of probes per second, and a third of the
 	// time in which neighbours' work changes.
 	probePause = 50 * time.Millisecond
-	// idleProbePause is the pause between probes of an upstream without calls.
-	idleProbePause = time.Second
+	// idleProbePause is the pause between looks at whether the upstream is in
+	// use, or new.
+	idleProbePause = 100 * time.Millisecond
 	// inUse is how long after a call the upstream counts as being in use.
 	inUse = 300 * time.Millisecond
 	// freshReport is the age of a report that spares a probe.
@@ -98,12 +99,13 @@
 		used := now.Sub(g.health.lastCall) < inUse
 		fresh := now.Sub(g.health.reportedAt) < freshReport
 		present := g.upstream.instance != "" && !g.upstream.leaving && !g.upstream.unreachable && !g.stopping
+		unconfirmed := !g.upstream.confirmed
 		g.mu.Unlock()
 		pause = probePause
-		if !used {
-			pause = idleProbePause / 4
+		if !used && !unconfirmed {
+			pause = idleProbePause
 		}
-		if present && used && !fresh {
+		if present && (unconfirmed || used && !fresh) {
 			g.probe()
 		}
 	}
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -90,19 +90,12 @@
 	}
 	changed := !same || g.upstream.leaving != known.leaving || g.upstream.unreachable != known.unreachable ||
 		g.upstream.confirmed != known.confirmed
-	unconfirmed := !g.upstream.confirmed && !g.upstream.leaving
 	g.mu.Unlock()
 	if changed {
 		_ = level.Info(g.logger).Log("event", "upstream", "upstream", h.Instance(), "service", h.Service(),
 			"sequence", h.Sequence(), "draining", h.Draining(), "cold", h.Cold())
 		g.notify()
 	}
-	if unconfirmed {
-		g.tomb.Go(func() error {
-			g.probe()
-			return nil
-		})
-	}
 	return true
 }
 
@@ -126,11 +119,9 @@
 		instance: h.Instance(), service: h.Service(), slots: h.Slots(), started: h.Started(), sequence: h.Sequence(), beats: 1,
 		beatAt: now,
 	}
-	options := []admission.Option{admission.WithKnee(knee)}
-	if h.Cold() > 0 {
-		options = append(options, admission.WithColdStart(now, h.Cold()))
-	}
-	g.admission = admission.NewGate(h.Slots(), options...)
+	// A cold upstream is slower, and says so in its reports, but it runs as many
+	// calls as a warm one.
+	g.admission = admission.NewGate(h.Slots(), admission.WithKnee(knee))
 	g.pool = http1.NewPool(g.address, g.dial, g.clock, idleConnections)
 	g.health = health{}
 }
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -45,6 +45,9 @@
 	// Selective asks the gate to refuse while another upstream would probably
 	// answer sooner.
 	Selective bool `cbor:"15,keyasint,omitempty"`
+	// Fastest is the least slowdown that the entry node knows among the
+	// upstreams that it can choose from, 0 when it knows none.
+	Fastest float32 `cbor:"18,keyasint,omitempty"`
 	// Repeated tells that the call may already have run at another upstream.
 	Repeated bool `cbor:"16,keyasint,omitempty"`
 	// From is the host of the entry node.
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -73,6 +73,8 @@
 	started   time.Time
 	hedge     bool
 	selective bool
+	// fastest is the least slowdown among the upstreams to choose from.
+	fastest float32
 	// charged tells that the attempt was taken from the retry budget.
 	charged bool
 	done    bool
@@ -220,7 +222,7 @@
 	s.picks++
 	s.arrivals++
 	s.tried[name] = true
-	a := &attempt{peer: peer, started: now, hedge: hedge, selective: selective, charged: charged}
+	a := &attempt{peer: peer, started: now, hedge: hedge, selective: selective, charged: charged, fastest: fastest(s.in.view.Serving(s.service))}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
 	s.live = append(s.live, a)
@@ -256,6 +258,18 @@
 	return peers[s.in.policy.Choose(now, candidates)]
 }
 
+// fastest returns the least slowdown that upstreams report. When all of them are
+// slow, as after a common start, none of them is slow for its service.
+func fastest(peers []fleet.Peer) float32 {
+	least := float32(0)
+	for _, peer := range peers {
+		if slowdown := peer.Beacon().Load.Slowdown; slowdown >= 1 && (least == 0 || slowdown < least) {
+			least = slowdown
+		}
+	}
+	return least
+}
+
 // outgoing returns the request as it is sent.
 func (s *session) outgoing() *egress.Call {
 	return &egress.Call{
