--- a/http1/head.go
+++ b/http1/head.go
@@ -81,6 +81,9 @@
 		return nil, headError(err)
 	}
 	header := http.Header(mime)
+	if !validNames(header) {
+		return nil, newError("read request", KindMalformed, eris.New("field name"))
+	}
 	r := &Request{Method: method, Target: target, Header: header}
 	if len(header["Host"]) != 1 {
 		return nil, newError("read request", KindMalformed, eris.New("no single Host"))
@@ -122,6 +125,19 @@
 	return method != ""
 }
 
+// validNames tells whether all field names are tokens. Other software may read
+// a name with a space as the name without it.
+func validNames(header http.Header) bool {
+	for name := range header {
+		for i := 0; i < len(name); i++ {
+			if c := name[i]; c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func validTarget(target string) bool {
 	if target == "" || (target[0] != '/' && target != "*") {
 		return false
@@ -179,6 +195,9 @@
 		return nil, headError(err)
 	}
 	r := &Response{Status: status, Header: http.Header(mime)}
+	if !validNames(r.Header) {
+		return nil, newError("read response", KindMalformed, eris.New("field name"))
+	}
 	r.keep = proto == "HTTP/1.1" && !hasToken(r.Header, "Connection", "close")
 	length, err := framing(r.Header, proto)
 	if err != nil {
--- /dev/null
+++ b/http1/http1_test.go
@@ -0,0 +1,300 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/http1"
+)
+
+func TestHTTP1(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "http1")
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// handler serves requests by a function.
+type handler func(ctx context.Context, r *http1.Request, reply *http1.Reply)
+
+func (h handler) Serve(ctx context.Context, r *http1.Request, reply *http1.Reply) { h(ctx, r, reply) }
+
+var limits = http1.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+
+func serve(h handler) (*http1.Server, string) {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := http1.NewServer(listener, h, func() http1.Limits { return limits })
+	DeferCleanup(server.Close)
+	return server, listener.Addr().String()
+}
+
+func dial(address string) (net.Conn, *bufio.Reader) {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func answer(br *bufio.Reader) (int, string, bool) {
+	GinkgoHelper()
+	response, err := http.ReadResponse(br, nil)
+	Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode, string(body), response.Close
+}
+
+func echo(_ context.Context, r *http1.Request, reply *http1.Reply) {
+	_ = reply.Send(http.StatusOK, http.Header{}, append([]byte(r.Target+" "), r.Content...))
+}
+
+var _ = Describe("a server", func() {
+	It("serves pipelined requests together and answers in order", func() {
+		var once sync.Once
+		second := make(chan struct{})
+		_, address := serve(func(ctx context.Context, r *http1.Request, reply *http1.Reply) {
+			if r.Target == "/1" {
+				<-second // the first waits for the second
+			} else {
+				once.Do(func() { close(second) })
+			}
+			echo(ctx, r, reply)
+		})
+		conn, br := dial(address)
+		_, _ = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, body, _ := answer(br)
+		Expect(body).To(Equal("/1 "))
+		_, body, _ = answer(br)
+		Expect(body).To(Equal("/2 "))
+	})
+
+	DescribeTable("refuses a message that can be read in two ways, and closes",
+		func(head string, status int) {
+			served := false
+			_, address := serve(func(ctx context.Context, r *http1.Request, reply *http1.Reply) {
+				served = true
+				echo(ctx, r, reply)
+			})
+			conn, br := dial(address)
+			_, _ = io.WriteString(conn, head+"\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+			got, _, closing := answer(br)
+			Expect(got).To(Equal(status))
+			Expect(closing).To(BeTrue())
+			_, err := br.ReadByte()
+			Expect(err).To(HaveOccurred())
+			Expect(served).To(BeFalse())
+		},
+		Entry("length and chunks", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked", 400),
+		Entry("two lengths", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6", 400),
+		Entry("a list of lengths", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5, 5", 400),
+		Entry("a signed length", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +5", 400),
+		Entry("a coding beside chunks", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked", 400),
+		Entry("chunks given twice", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked", 400),
+		Entry("chunks in HTTP/1.0", "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked", 400),
+		Entry("a space before the colon", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked", 400),
+		Entry("no host", "POST / HTTP/1.1\r\nContent-Length: 5", 400),
+		Entry("two hosts", "POST / HTTP/1.1\r\nHost: x\r\nHost: y\r\nContent-Length: 5", 400),
+		Entry("a space in the target", "GET /a b HTTP/1.1\r\nHost: x", 400),
+		Entry("a head beyond the limit", "GET / HTTP/1.1\r\nHost: x\r\nLong: "+strings.Repeat("x", 20<<10), 431),
+		Entry("a body beyond the limit", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999", 413),
+	)
+
+	It("reads bodies with a length and in chunks", func() {
+		_, address := serve(echo)
+		conn, br := dial(address)
+		_, _ = io.WriteString(conn, "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"+
+			"POST /2 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n")
+		_, body, _ := answer(br)
+		Expect(body).To(Equal("/1 hello"))
+		_, body, _ = answer(br)
+		Expect(body).To(Equal("/2 hello"))
+	})
+
+	It("streams a long body to the handler", func() {
+		_, address := serve(func(_ context.Context, r *http1.Request, reply *http1.Reply) {
+			rest, err := io.ReadAll(r.Rest)
+			Expect(err).NotTo(HaveOccurred())
+			_ = reply.Send(http.StatusOK, http.Header{}, fmt.Appendf(nil, "%d", len(r.Content)+len(rest)))
+		})
+		conn, br := dial(address)
+		go func() {
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("x", 300000))
+		}()
+		_, body, _ := answer(br)
+		Expect(body).To(Equal("300000"))
+	})
+
+	It("ends the work of a caller that leaves", func() {
+		left := make(chan struct{})
+		_, address := serve(func(ctx context.Context, _ *http1.Request, reply *http1.Reply) {
+			<-ctx.Done()
+			close(left)
+			reply.Abort()
+		})
+		conn, _ := dial(address)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		_ = conn.Close()
+		Eventually(left).Should(BeClosed())
+	})
+
+	It("cuts a stream that fails, so that it does not look whole", func() {
+		_, address := serve(func(_ context.Context, _ *http1.Request, reply *http1.Reply) {
+			_ = reply.Stream(http.StatusOK, http.Header{}, -1, []byte("part"), failing{})
+		})
+		conn, br := dial(address)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		response, err := http.ReadResponse(br, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(response.Body)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("announces the last answer when it drains, and closes idle connections", func() {
+		server, address := serve(echo)
+		conn, br := dial(address)
+		_, _ = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, _, closing := answer(br)
+		Expect(closing).To(BeFalse())
+		idle, idleReader := dial(address)
+		_, _ = io.WriteString(idle, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, _, _ = answer(idleReader)
+		server.Drain()
+		_, _ = io.WriteString(conn, "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, body, closing := answer(br)
+		Expect(body).To(Equal("/2 "))
+		Expect(closing).To(BeTrue())
+		_, err := br.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		server.Retire()
+		_, err = idleReader.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+})
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// script answers each connection with what it is given for each request read.
+func script(answers ...string) string { return scripts(answers) }
+
+// scripts answers each connection by the next script, and by the last one for
+// ever.
+func scripts(all ...[]string) string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for i := 0; ; i++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			answers := all[min(i, len(all)-1)]
+			go func() {
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				for _, text := range answers {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, text)
+					if strings.HasSuffix(text, "!") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func pool(address string) *http1.Pool {
+	p := http1.NewPool(address, func(ctx context.Context, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}, systemClock{}, time.Minute)
+	DeferCleanup(p.Close)
+	return p
+}
+
+func get(p *http1.Pool, id string) (string, error) {
+	response, err := p.Do(context.Background(), &http1.Outgoing{
+		Method: http.MethodGet, Target: "/" + id, Host: "x", Header: http.Header{},
+		Accept: func(r *http1.Response) bool { return r.Header.Get("Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer response.Finish()
+	body, whole, err := response.Body.Buffer(1 << 20)
+	if err == nil && !whole {
+		err = io.ErrShortBuffer
+	}
+	return string(body), err
+}
+
+var _ = Describe("a pool", func() {
+	It("drops an answer to an earlier request", func() {
+		p := pool(script(
+			"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nA",
+			"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nAHTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nB",
+		))
+		Expect(get(p, "a")).To(Equal("A"))
+		Expect(get(p, "b")).To(Equal("B"))
+		Expect(p.Opened()).To(Equal(uint64(1)))
+	})
+
+	It("gives extra bytes behind an answer to nobody", func() {
+		extra := "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nAHTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nX"
+		p := pool(scripts([]string{extra, extra}, []string{"nothing!"}))
+		Expect(get(p, "a")).To(Equal("A"))
+		_, err := get(p, "b")
+		Expect(http1.KindOf(err)).To(Equal(http1.KindNoAnswer))
+		Expect(p.Opened()).To(Equal(uint64(2)), "the connection with extra bytes is not used again")
+	})
+
+	DescribeTable("reports an answer that breaks off", func(text string) {
+		_, err := get(pool(script(text)), "a")
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("in its body", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nA!"),
+		Entry("in its chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel!"),
+		Entry("behind a chunk", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n!\r\n0\r\n!"),
+		Entry("in its head", "HTTP/1.1 200 OK\r\nId: a!"),
+		Entry("that is none", "hello!"),
+	)
+
+	It("takes a body without a length to the end of the connection", func() {
+		Expect(get(pool(script("HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it!")), "a")).To(Equal("all of it!"))
+	})
+
+	It("skips interim answers", func() {
+		Expect(get(pool(script("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nA")), "a")).To(Equal("A"))
+	})
+
+	It("tells that nothing was sent when there is no connection", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		_, err = get(pool(address), "a")
+		Expect(http1.KindOf(err)).To(Equal(http1.KindUnreached))
+	})
+})
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -258,3 +258,14 @@
 	defer s.mu.Unlock()
 	return d*3/4 + time.Duration(s.rng.Int64N(int64(d/2)+1))
 }
+
+// Revision returns the number of the configuration in force, 0 before the first.
+func (s *Sidecar) Revision() uint64 {
+	if table := s.table.Load(); table != nil {
+		return table.Revision()
+	}
+	return 0
+}
+
+// Running returns how many calls run at the upstream beside this node.
+func (s *Sidecar) Running() int { return s.gate.Running() }
