egress, admission, ingress: learn whether upstreams slow down when nearly full

Cause: the gate used 0.8 of the slots everywhere.

Change: run times in a crowd and with room are compared route by route, and 0.8 of the slots are used where a crowd costs more than it gains. With it: notices of a changed load have 20 bytes in place of a beacon's 150; a request waits at an upstream that is known to be busy if no better one is known; long answers are fetched within the failure domain; failures of upstreams that call others are not repeated.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -13,6 +13,12 @@
 	queuePerSlot = 1.0
 	// coldShare is the share of the slots open at the start of a cold start.
 	coldShare = 0.25
+	// nestedShare is the share of nested calls from which part of the slots is
+	// kept for them, and nestedReserve is that part.
+	nestedShare   = 0.15
+	nestedReserve = 0.2
+	// nestedWeight is the weight of a call in the share of nested calls.
+	nestedWeight = 0.02
 	// serviceWeight is the weight of a new sample in the service time.
 	serviceWeight = 0.1
 )
@@ -31,12 +37,14 @@
 
 // Gate admits calls to one upstream; it is safe for concurrent use.
 type Gate struct {
-	mu          sync.Mutex
-	slots       int
-	coldUntil   time.Time
-	coldSpan    time.Duration
-	limiter     limiter
-	knee        float64
+	mu        sync.Mutex
+	slots     int
+	coldUntil time.Time
+	coldSpan  time.Duration
+	limiter   limiter
+	knee      float64
+	// nested is the share of nested calls among those that asked lately.
+	nested      float64
 	running     int
 	aloneActive bool
 	queue       passQueue
@@ -57,9 +65,8 @@
 	}
 }
 
-// WithKnee keeps the slots above a share for calls of other upstreams, which
-// their callers hold slots for, and takes the upstream's slots for its capacity:
-// its service time then says nothing about it.
+// WithKnee runs no more calls than a share of the slots, above which the
+// upstream would slow down. The limit does not follow the service time.
 func WithKnee(share float64) Option {
 	return func(g *Gate) {
 		g.knee = share
@@ -67,6 +74,14 @@
 	}
 }
 
+// SetKnee changes the share of the slots that calls without a caller among the
+// upstreams may use.
+func (g *Gate) SetKnee(share float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.knee = share
+}
+
 // NewGate returns a Gate for an upstream that runs up to slots calls.
 func NewGate(slots int, options ...Option) *Gate {
 	g := &Gate{slots: max(slots, 1), knee: 1, idle: make(chan struct{})}
@@ -100,6 +115,7 @@
 	if !request.Deadline.After(now) {
 		return nil, call.Refuse(call.NotRun, call.ReasonDeadline)
 	}
+	g.admitted(request)
 	g.sequence++
 	pass := &Pass{gate: g, request: request, sequence: g.sequence, ready: make(chan struct{})}
 	if g.queue.Len() == 0 && g.fits(now, request) {
@@ -157,7 +173,9 @@
 	return g.running < g.allowance(now, request)
 }
 
-// allowance returns how many calls may run beside and with the request.
+// allowance returns how many calls may run beside and with the request. Part of
+// them is kept for calls that other upstreams make while they hold a slot, if
+// there are such.
 func (g *Gate) allowance(now time.Time, request Request) int {
 	limit := g.limit(now)
 	if request.Depth > 0 {
@@ -166,6 +184,15 @@
 	return max(1, int(g.knee*float64(limit)))
 }
 
+// admitted follows the share of nested calls.
+func (g *Gate) admitted(request Request) {
+	sample := 0.0
+	if request.Depth > 0 {
+		sample = 1
+	}
+	g.nested += nestedWeight * (sample - g.nested)
+}
+
 func (g *Gate) grant(now time.Time, pass *Pass) {
 	g.running++
 	g.aloneActive = pass.request.Alone
@@ -232,7 +259,7 @@
 	return call.Load{
 		Running: uint32(g.running),
 		Waiting: uint32(g.queue.Len()),
-		Limit:   uint32(g.limit(now)),
+		Limit:   uint32(g.allowance(now, Request{})),
 		Service: g.limiter.service,
 	}
 }
--- a/call/call.go
+++ b/call/call.go
@@ -63,6 +63,7 @@
 	ReasonFailing        Reason = "failing"
 	ReasonGarbled        Reason = "garbled"
 	ReasonFailed         Reason = "failed"
+	ReasonUnfinished     Reason = "unfinished"
 )
 
 // Refusal is an answer that the system gives in place of the upstream.
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// knee is the share of the slots above which backend servers slow down;
-	// calls of other upstreams may use the rest.
-	knee = 0.8
 	// slowed is how many times slower than the fastest upstream of its service
 	// an upstream must be to refuse a selective call.
 	slowed = 2.0
@@ -88,9 +85,10 @@
 	stopping  bool
 	health    health
 	departed  map[departure]struct{}
-	runs      map[string]Run
+	runs      map[string]*Run
 	calls     callCounts
 	notified  notified
+	knee      knee
 	callers   map[string]time.Time
 	probes    uint64
 	opened    uint64
@@ -125,7 +123,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	g := &Gate{
 		clock: systemClock{}, logger: log.NewNopLogger(), address: address, table: table, notify: func() {},
-		departed: map[departure]struct{}{}, runs: map[string]Run{},
+		departed: map[departure]struct{}{}, runs: map[string]*Run{},
 		callers: map[string]time.Time{}, notifyLoad: func() {},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
@@ -168,7 +166,6 @@
 		return call.Load{}
 	}
 	load := g.admission.Load(now)
-	load.Limit = uint32(max(1, int(knee*float64(load.Limit))))
 	load.Slowdown = float32(g.health.slowdownAt(now))
 	load.Failing = g.health.failing(now)
 	return load
@@ -296,7 +293,7 @@
 	ended := g.track(meta)
 	finish := func(answered bool) {
 		cancel()
-		ended()
+		ended(answered)
 		pass.End(g.clock.Now(), answered)
 		g.noteLoad()
 	}
--- a/egress/run.go
+++ b/egress/run.go
@@ -1,6 +1,12 @@
 package egress
 
-import "github.com/banyancross/banyancross/hop"
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/banyancross/banyancross/hop"
+)
 
 // Run is a call that runs at the upstream.
 type Run struct {
@@ -8,10 +14,24 @@
 	Depth int
 	// Repeated tells that the request was sent to an upstream before.
 	Repeated bool
+
+	route   string
+	started time.Time
+	// share is the part of the slots in use when the run began.
+	share float64
+	// usual tells that the host was at its usual speed when the run began.
+	usual bool
+	// calls counts the calls that the run makes.
+	calls int
 }
 
-// callWindow is how many runs the fanout is averaged over.
-const callWindow = 200
+const (
+	// callWindow is how many runs the fanout is averaged over.
+	callWindow = 200
+	// usualSpeed is the slowdown up to which a host counts as being at its
+	// usual speed.
+	usualSpeed = 1.2
+)
 
 // callCounts counts the calls that the upstream's runs make to other upstreams.
 type callCounts struct {
@@ -35,18 +55,41 @@
 }
 
 // track records that a call runs, and returns what records its end.
-func (g *Gate) track(meta hop.Meta) func() {
+func (g *Gate) track(meta hop.Meta) func(answered bool) {
+	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.runs[meta.ID] = Run{Depth: meta.Depth, Repeated: meta.Repeated}
+	run := &Run{
+		Depth: meta.Depth, Repeated: meta.Repeated, route: meta.Route, started: now,
+		share: g.occupied(now), usual: g.health.slowdownAt(now) <= usualSpeed,
+	}
+	g.runs[meta.ID] = run
 	g.calls.ran()
-	return func() {
+	instance := g.upstream.instance
+	return func(answered bool) {
+		now := g.clock.Now()
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		delete(g.runs, meta.ID)
+		if g.runs[meta.ID] == run {
+			delete(g.runs, meta.ID)
+		}
+		if answered && run.calls == 0 && run.usual && g.health.slowdownAt(now) <= usualSpeed && g.upstream.instance == instance {
+			g.knee.observe(run.route, now.Sub(run.started), (run.share+g.occupied(now))/2)
+			found := g.knee.found
+			g.admission.SetKnee(g.knee.share())
+			if g.knee.found != found {
+				_ = level.Info(g.logger).Log("event", "knee", "upstream", instance, "slows-down-when-full", g.knee.found,
+					"ratio", g.knee.ratio, "compared", g.knee.weight)
+			}
+		}
 	}
 }
 
+// occupied returns the share of the slots in use; g.mu is held.
+func (g *Gate) occupied(now time.Time) float64 {
+	return float64(g.admission.Load(now).Running) / float64(max(g.upstream.slots, 1))
+}
+
 // Caller returns the run with an identity that makes a call, if it runs here.
 func (g *Gate) Caller(id string) (Run, bool) {
 	if id == "" {
@@ -54,9 +97,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	run, ok := g.runs[id]
-	if ok {
-		g.calls.calls++
+	run := g.runs[id]
+	if run == nil {
+		return Run{}, false
 	}
-	return run, ok
+	run.calls++
+	g.calls.calls++
+	return *run, true
 }
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -121,9 +121,9 @@
 	}
 	// A cold upstream is slower, and says so in its reports, but it runs as many
 	// calls as a warm one.
-	g.admission = admission.NewGate(h.Slots(), admission.WithKnee(knee))
+	g.admission = admission.NewGate(h.Slots(), admission.WithKnee(1))
 	g.pool = http1.NewPool(g.address, g.dial, g.clock, idleConnections)
-	g.health = health{}
+	g.health, g.knee = health{}, knee{}
 }
 
 // depart records that an incarnation leaves; g.mu is held.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -86,6 +86,22 @@
 	return news
 }
 
+// Notice takes a notice from an address, and returns the beacon of its sender
+// with the new load. Notices that were overtaken, or whose sender is not known,
+// are dropped.
+func (v *View) Notice(now time.Time, address string, n Notice) (Beacon, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, peer := range v.peers {
+		if peer.beacon.Datagrams != address || peer.silent || n.Sequence <= peer.beacon.Sequence {
+			continue
+		}
+		peer.beacon.Sequence, peer.beacon.Load, peer.heard = n.Sequence, n.Load(), now
+		return peer.beacon, true
+	}
+	return Beacon{}, false
+}
+
 // Heard records another sign of life of a node.
 func (v *View) Heard(now time.Time, host string) {
 	v.mu.Lock()
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -50,6 +50,8 @@
 	Fastest float32 `cbor:"18,keyasint,omitempty"`
 	// Repeated tells that the call may already have run at another upstream.
 	Repeated bool `cbor:"16,keyasint,omitempty"`
+	// Route is the route that the call took.
+	Route string `cbor:"19,keyasint,omitempty"`
 	// From is the host of the entry node.
 	From string `cbor:"17,keyasint,omitempty"`
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -24,6 +24,9 @@
 	whole   bool
 }
 
+// size is the length of the answer as far as it is known.
+func (r *result) size() int64 { return max(r.answer.Response.Length, int64(len(r.content))) }
+
 func (r *result) status() int { return r.answer.Response.Status }
 
 // discard drops an answer that is not wanted.
@@ -66,7 +69,7 @@
 		ID: s.headers.ID(), Service: s.service, Upstream: b.Upstream, Remaining: remaining,
 		Idempotent: s.route.Idempotent, Received: s.received, Revision: s.table.Revision(),
 		Caller: s.in.caller(), Priority: s.route.Priority, Selective: a.selective,
-		Depth: s.depth, Repeated: a.charged, Fastest: a.fastest, From: s.in.host,
+		Depth: s.depth, Repeated: a.charged, Fastest: a.fastest, From: s.in.host, Route: s.route.Name,
 	}
 	if !a.selective {
 		meta.Patience = min(s.patience(now), remaining/2)
@@ -89,14 +92,23 @@
 	return in.times[name]
 }
 
-// took records how long an attempt took that was answered.
-func (in *Ingress) took(name string, elapsed time.Duration) {
+// size returns how long the answers of a route usually are, in bytes.
+func (in *Ingress) size(name string) int64 {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.sizes[name]
+}
+
+// took records how long an attempt took that was answered, and how long the
+// answer was.
+func (in *Ingress) took(name string, elapsed time.Duration, size int64) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	known, ok := in.times[name]
 	if !ok {
-		in.times[name] = elapsed
+		in.times[name], in.sizes[name] = elapsed, size
 		return
 	}
 	in.times[name] = known + time.Duration(typicalWeight*float64(elapsed-known))
+	in.sizes[name] += int64(typicalWeight * float64(size-in.sizes[name]))
 }
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -62,7 +62,15 @@
 
 // ended reports how the request ended.
 func (s *session) ended(status int, outcome call.Outcome, reason call.Reason) {
-	elapsed := s.in.clock.Now().Sub(s.received)
+	now := s.in.clock.Now()
+	elapsed := now.Sub(s.received)
+	for _, a := range s.live {
+		b := a.peer.Beacon()
+		s.trail = append(s.trail, Step{
+			Host: b.Host, Upstream: b.Upstream, Reason: call.ReasonUnfinished, Hedge: a.hedge,
+			At: a.started.Sub(s.received), Took: now.Sub(a.started),
+		})
+	}
 	o := Observation{
 		ID: s.headers.ID(), Service: s.service, Status: status, Outcome: outcome, Reason: reason,
 		Attempts: s.arrivals, Picks: s.picks, Elapsed: elapsed, Trail: s.trail,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -80,6 +80,8 @@
 	rng *rand.Rand
 	// times holds how long attempts of each route usually take.
 	times map[string]time.Duration
+	// sizes holds how long the answers of each route usually are, in bytes.
+	sizes map[string]int64
 }
 
 // Option configures an Ingress.
@@ -124,7 +126,7 @@
 func New(domain string, table func() *route.Table, caller func() string, view *fleet.View, sender Sender, options ...Option) *Ingress {
 	in := &Ingress{
 		clock: systemClock{}, logger: log.NewNopLogger(), table: table, caller: caller, domain: domain,
-		view: view, sender: sender, observe: func(Observation) {}, times: map[string]time.Duration{},
+		view: view, sender: sender, observe: func(Observation) {}, times: map[string]time.Duration{}, sizes: map[string]int64{},
 		parent: func(string) (egress.Run, bool) { return egress.Run{}, false },
 		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -18,6 +18,8 @@
 	// maxSelective bounds how many gates may refuse a request because another
 	// upstream would probably answer sooner.
 	maxSelective = 3
+	// maxPatient bounds the gates at which a request waits.
+	maxPatient = 2
 	// maxPicks bounds the gates that are asked.
 	maxPicks = 6
 	// maxPatience and minPatience are the parts of the latency objective that a
@@ -56,6 +58,7 @@
 	tried    map[string]bool
 	live     []*attempt
 	picks    int
+	patient  int
 	arrivals int
 	// uncertain tells that an attempt may have run without an answer.
 	uncertain bool
@@ -117,8 +120,8 @@
 	s.retire(r)
 	meta := r.answer.Meta
 	switch {
-	case meta.Outcome == call.Answered && (r.status() < http.StatusInternalServerError || !s.route.Idempotent):
-		s.in.took(s.route.Name, s.in.clock.Now().Sub(r.attempt.started))
+	case meta.Outcome == call.Answered && !s.worthRepeating(r):
+		s.in.took(s.route.Name, s.in.clock.Now().Sub(r.attempt.started), r.size())
 		return true
 	case meta.Outcome == call.Answered:
 		s.discardFailure()
@@ -139,6 +142,13 @@
 	return false
 }
 
+// worthRepeating tells whether another upstream may answer better. The failure
+// of an upstream that calls others is mostly one of theirs.
+func (s *session) worthRepeating(r *result) bool {
+	return r.status() >= http.StatusInternalServerError && s.route.Idempotent &&
+		r.attempt.peer.Beacon().Fanout <= leafFanout
+}
+
 // retire takes an attempt off the list of those that run.
 func (s *session) retire(r *result) {
 	now := s.in.clock.Now()
@@ -197,7 +207,7 @@
 
 // launch sends the request to the best upstream that has not been asked yet.
 func (s *session) launch(ctx context.Context, hedge bool) bool {
-	if s.picks >= maxPicks || s.arrivals >= max(s.route.Attempts, 1) {
+	if s.picks >= maxPicks || s.patient >= maxPatient || s.arrivals >= max(s.route.Attempts, 1) {
 		return false
 	}
 	peers := s.candidates(hedge)
@@ -217,8 +227,11 @@
 	}
 	peer := s.choose(now, peers)
 	name := peer.Beacon().Host
-	// With no other upstream left, a request had better wait than be refused.
-	selective := hedge || (s.picks < maxSelective && len(peers) > 1)
+	// With no better upstream left, a request had better wait than be refused.
+	selective := hedge || (s.picks < maxSelective && len(peers) > 1 && !s.in.policy.Busy(now, policyName(peer.Beacon())))
+	if !selective {
+		s.patient++
+	}
 	s.picks++
 	s.arrivals++
 	s.tried[name] = true
@@ -253,7 +266,8 @@
 	candidates := make([]routing.Candidate, len(peers))
 	for i, peer := range peers {
 		b := peer.Beacon()
-		candidates[i] = routing.NewCandidate(policyName(b), b.Slots, 0, b.FailureDomain != s.in.domain)
+		candidates[i] = routing.NewCandidate(policyName(b), b.Slots, 0, b.FailureDomain != s.in.domain).
+			Carrying(s.in.size(s.route.Name))
 	}
 	return peers[s.in.policy.Choose(now, candidates)]
 }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -12,6 +12,7 @@
 	slots  int
 	link   time.Duration
 	remote bool
+	bytes  int64
 }
 
 // NewCandidate describes an upstream; link is the round trip to it and remote
@@ -20,6 +21,13 @@
 	return Candidate{name: name, slots: slots, link: link, remote: remote}
 }
 
+// Carrying returns the candidate for a call whose answer has about the given
+// number of bytes.
+func (c Candidate) Carrying(bytes int64) Candidate {
+	c.bytes = bytes
+	return c
+}
+
 // Name returns the upstream's name.
 func (c Candidate) Name() string { return c.name }
 
--- a/routing/reporting.go
+++ b/routing/reporting.go
@@ -18,6 +18,16 @@
 	// remoteWeight is what another failure domain costs, in shares of an
 	// upstream's capacity.
 	remoteWeight = 0.25
+	// transferUnit is how many bytes from another failure domain cost as much as
+	// the whole capacity of an upstream: what a link charges for that many is
+	// close to what a call is worth.
+	transferUnit = 90 << 10
+	// maxTransferWeight bounds the cost of a long answer.
+	maxTransferWeight = 2
+	// busyLife is how long a report that an upstream is full is believed.
+	busyLife = 100 * time.Millisecond
+	// slow is the slowdown of an upstream that counts as busy.
+	slow = 2
 	// failingWeight is what an upstream that mostly fails costs.
 	failingWeight = 4
 	// lostWeight is what an attempt without an answer costs at first, and
@@ -70,7 +80,7 @@
 func (p *Reporting) cost(now time.Time, candidate Candidate) float64 {
 	cost := 0.0
 	if candidate.remote {
-		cost += remoteWeight
+		cost += remoteWeight + min(float64(candidate.bytes)/transferUnit, maxTransferWeight)
 	}
 	u := p.upstreams[candidate.name]
 	if u == nil {
@@ -106,6 +116,17 @@
 	return u.lost / float64(int(1)<<max(halves, 0))
 }
 
+// Busy tells whether an upstream is known to be full or slow at the moment.
+func (p *Reporting) Busy(now time.Time, name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.upstreams[name]
+	if u == nil || now.Sub(u.at) > busyLife {
+		return false
+	}
+	return u.load.Waiting > 0 || u.load.Running >= u.load.Limit || u.load.Slowdown >= slow
+}
+
 // Started implements Policy.
 func (p *Reporting) Started(_ time.Time, name string) {
 	p.mu.Lock()
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -91,14 +92,21 @@
 	for _, host := range s.gate.Callers() {
 		callers[host] = true
 	}
-	s.send(func(b fleet.Beacon) bool { return callers[b.Host] })
+	data, err := fleet.NewNotice(s.sequence.Add(1), s.gate.Load()).Encode()
+	if err != nil {
+		_ = level.Error(s.logger).Log("event", "beacon-failed", "err", err)
+		return
+	}
+	self := s.settings.Load().Host()
+	for _, peer := range s.view.Peers() {
+		if b := peer.Beacon(); b.Host != self && callers[b.Host] {
+			s.sendTo(b.Datagrams, data)
+		}
+	}
 }
 
 // broadcast sends one beacon to every known node.
-func (s *Sidecar) broadcast() { s.send(func(fleet.Beacon) bool { return true }) }
-
-// send sends one beacon to the nodes that are wanted.
-func (s *Sidecar) send(wanted func(fleet.Beacon) bool) {
+func (s *Sidecar) broadcast() {
 	b := s.beacon()
 	s.view.Learn(s.clock.Now(), b)
 	s.ingress.Report(b)
@@ -108,7 +116,7 @@
 		return
 	}
 	for _, peer := range s.view.Peers() {
-		if peer.Beacon().Host != b.Host && wanted(peer.Beacon()) {
+		if peer.Beacon().Host != b.Host {
 			s.sendTo(peer.Beacon().Datagrams, data)
 		}
 	}
@@ -129,7 +137,7 @@
 func (s *Sidecar) receiveBeacons() error {
 	buffer := make([]byte, maxBeacon)
 	for {
-		n, _, err := s.socket.ReadFromUDP(buffer)
+		n, from, err := s.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if !s.tomb.Alive() {
 				return nil
@@ -139,6 +147,10 @@
 			}
 			continue
 		}
+		if fleet.IsNotice(buffer[:n]) {
+			s.noticed(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), buffer[:n])
+			continue
+		}
 		b, err := fleet.Decode(buffer[:n])
 		if err != nil {
 			_ = level.Warn(s.logger).Log("event", "beacon-skipped", "err", err)
@@ -148,6 +160,18 @@
 	}
 }
 
+// noticed takes a notice of another node's load.
+func (s *Sidecar) noticed(address string, data []byte) {
+	notice, err := fleet.DecodeNotice(data)
+	if err != nil {
+		_ = level.Warn(s.logger).Log("event", "notice-skipped", "from", address, "err", err)
+		return
+	}
+	if b, ok := s.view.Notice(s.clock.Now(), address, notice); ok {
+		s.ingress.Report(b)
+	}
+}
+
 // heard takes a beacon of another node.
 func (s *Sidecar) heard(b fleet.Beacon) {
 	if b.Host == s.settings.Load().Host() {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -61,7 +61,9 @@
  {"type_url":"services","metadata":{"name":"stock"},"spec":{"health_path":"/healthz","max_conns":240}},
  {"type_url":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}`
 
-func (w *world) publish(version int) { w.store.Store("op/config", fmt.Appendf(nil, configuration, version)) }
+func (w *world) publish(version int) {
+	w.store.Store("op/config", fmt.Appendf(nil, configuration, version))
+}
 
 // freeAddress returns an address that nothing listens at.
 func freeAddress() string {
