--- a/admission/gate.go
+++ b/admission/gate.go
@@ -74,8 +74,7 @@
 	}
 }
 
-// SetKnee changes the share of the slots that calls without a caller among the
-// upstreams may use.
+// SetKnee changes the share of the slots that are used.
 func (g *Gate) SetKnee(share float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -177,11 +176,11 @@
 // them is kept for calls that other upstreams make while they hold a slot, if
 // there are such.
 func (g *Gate) allowance(now time.Time, request Request) int {
-	limit := g.limit(now)
-	if request.Depth > 0 {
+	limit := max(1, int(g.knee*float64(g.limit(now))))
+	if g.knee == 1 || request.Depth > 0 || g.nested < nestedShare {
 		return limit
 	}
-	return max(1, int(g.knee*float64(limit)))
+	return max(1, limit-int(nestedReserve*float64(limit)+0.5))
 }
 
 // admitted follows the share of nested calls.
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -177,6 +177,7 @@
 	defer g.mu.Unlock()
 	b.Service, b.Upstream, b.Slots = g.upstream.service, g.upstream.instance, g.upstream.slots
 	b.Phase, b.Load, b.Fanout = g.phase(), g.load(g.clock.Now()), g.calls.fanout()
+	b.Crowding, b.Compared = float32(g.knee.ratio), float32(g.knee.weight)
 }
 
 // phase is what other nodes are told; g.mu is held.
--- a/egress/knee.go
+++ b/egress/knee.go
@@ -7,8 +7,10 @@
 	// runs are compared.
 	crowded = 0.85
 	roomy   = 0.75
-	// minCompared is how many runs of either kind say something.
-	minCompared = 16
+	// minCompared is how many runs of either kind say something, over all
+	// upstreams of the service, and minPart the same for one route at one.
+	minCompared = 24
+	minPart     = 4
 	// maxCompared is how many runs a mean is taken over, so that it follows an
 	// upstream that changes.
 	maxCompared = 200
@@ -43,6 +45,8 @@
 	found  bool
 	// ratio is how much longer runs take in a crowd, over weight comparisons.
 	ratio, weight float64
+	// othersRatio and othersWeight are the same for the service's other upstreams.
+	othersRatio, othersWeight float64
 }
 
 // occupancy holds the run times of a route.
@@ -65,7 +69,7 @@
 		k.routes[route] = o
 	}
 	sample := took.Seconds()
-	if o.roomy.count > minCompared {
+	if o.roomy.count > minPart {
 		sample = min(sample, outlier*o.roomy.value)
 	}
 	if share >= crowded {
@@ -80,7 +84,7 @@
 	weight, sum := 0.0, 0.0
 	for _, o := range k.routes {
 		compared := min(o.crowded.count, o.roomy.count)
-		if compared < minCompared || o.roomy.value <= 0 {
+		if compared < minPart || o.roomy.value <= 0 {
 			continue
 		}
 		weight += compared
@@ -88,7 +92,10 @@
 	}
 	if weight > 0 {
 		k.ratio, k.weight = sum/weight, weight
-		k.found = k.ratio > slowsDown || (k.found && k.ratio > recovered)
+	}
+	if all := k.weight + k.othersWeight; all >= minCompared {
+		ratio := (k.ratio*k.weight + k.othersRatio*k.othersWeight) / all
+		k.found = ratio > slowsDown || (k.found && ratio > recovered)
 	}
 	if k.found {
 		return kneeShare
--- a/egress/run.go
+++ b/egress/run.go
@@ -75,16 +75,33 @@
 		}
 		if answered && run.calls == 0 && run.usual && g.health.slowdownAt(now) <= usualSpeed && g.upstream.instance == instance {
 			g.knee.observe(run.route, now.Sub(run.started), (run.share+g.occupied(now))/2)
-			found := g.knee.found
-			g.admission.SetKnee(g.knee.share())
-			if g.knee.found != found {
-				_ = level.Info(g.logger).Log("event", "knee", "upstream", instance, "slows-down-when-full", g.knee.found,
-					"ratio", g.knee.ratio, "compared", g.knee.weight)
-			}
+			g.decideKnee()
 		}
 	}
 }
 
+// Compare takes what the other upstreams of the service have found about how
+// much longer runs take in a crowd, over how many comparisons.
+func (g *Gate) Compare(ratio, weight float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.knee.othersRatio, g.knee.othersWeight = ratio, weight
+	if g.admission != nil {
+		g.decideKnee()
+	}
+}
+
+// decideKnee sets how many of the slots are used; g.mu is held.
+func (g *Gate) decideKnee() {
+	found := g.knee.found
+	g.admission.SetKnee(g.knee.share())
+	if g.knee.found != found {
+		_ = level.Info(g.logger).Log("event", "knee", "upstream", g.upstream.instance, "slows-down-when-full", g.knee.found,
+			"ratio", g.knee.ratio, "compared", g.knee.weight,
+			"others-ratio", g.knee.othersRatio, "others-compared", g.knee.othersWeight)
+	}
+}
+
 // occupied returns the share of the slots in use; g.mu is held.
 func (g *Gate) occupied(now time.Time) float64 {
 	return float64(g.admission.Load(now).Running) / float64(max(g.upstream.slots, 1))
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -57,6 +57,10 @@
 	Stopping bool `cbor:"13,keyasint,omitempty"`
 	// Fanout is how many calls a run at the upstream makes to other upstreams.
 	Fanout float32 `cbor:"15,keyasint,omitempty"`
+	// Crowding is how much longer runs take when nearly all slots are in use,
+	// as far as the node has compared Compared of them.
+	Crowding float32 `cbor:"16,keyasint,omitempty"`
+	Compared float32 `cbor:"17,keyasint,omitempty"`
 	// Peers counts the nodes that the sender knows.
 	Peers int `cbor:"14,keyasint,omitempty"`
 }
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -115,11 +115,22 @@
 		_ = level.Error(s.logger).Log("event", "beacon-failed", "err", err)
 		return
 	}
+	ratio, weight := 0.0, 0.0
 	for _, peer := range s.view.Peers() {
-		if peer.Beacon().Host != b.Host {
-			s.sendTo(peer.Beacon().Datagrams, data)
+		other := peer.Beacon()
+		if other.Host == b.Host {
+			continue
+		}
+		s.sendTo(other.Datagrams, data)
+		if other.Service == b.Service {
+			ratio += float64(other.Crowding) * float64(other.Compared)
+			weight += float64(other.Compared)
 		}
 	}
+	if weight > 0 {
+		ratio /= weight
+	}
+	s.gate.Compare(ratio, weight)
 }
 
 func (s *Sidecar) sendTo(address string, data []byte) {
