--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -221,7 +221,8 @@
 	if !ok || s.HealthPath == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	//nolint:staticcheck // tomb asks for nil to give the context that ends with it.
+	ctx, cancel := context.WithTimeout(g.tomb.Context(nil), probeTimeout)
 	defer cancel()
 	response, err := pool.Do(ctx, &http1.Outgoing{Method: http.MethodGet, Target: s.HealthPath, Host: g.address, Header: http.Header{}})
 	if err != nil {
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -15,11 +15,16 @@
 const (
 	// configurationPath is where a node hands its configuration to others.
 	configurationPath = "/.banyancross/configuration"
-	// watchPerNode spreads the watches of all nodes over time: whenever one
-	// begins anew, it also reads what a connection gone silent has missed.
-	watchPerNode = 600 * time.Millisecond
-	minWatch     = 5 * time.Second
-	maxWatch     = 25 * time.Second
+	// watchSlot is the time between the new watches of two nodes. Whichever node
+	// begins anew also hears what a silent watch has missed, and tells the
+	// others; a third of the time in which a configuration must be in force
+	// leaves room for a node that is down.
+	watchSlot = 600 * time.Millisecond
+	// minWatch is the least time that a watch is worth its call.
+	minWatch = 300 * time.Millisecond
+	// maxWatch is the longest round of all nodes, within the longest watch that
+	// the platform takes.
+	maxWatch = 25 * time.Second
 	// storeRetry is the first pause after a failed call to the store, and
 	// maxStoreRetry the longest.
 	storeRetry    = 150 * time.Millisecond
@@ -60,10 +65,33 @@
 	return nil
 }
 
-// watchWait is how long one watch waits.
+// watchWait is how long the next watch waits: until this node's slot in a round
+// of all nodes. A change ends all watches at once, and without slots they would
+// also begin anew at the same time ever after.
 func (s *Sidecar) watchWait() time.Duration {
-	nodes := time.Duration(len(s.view.Peers()) + 1)
-	return s.jittered(min(max(nodes*watchPerNode, minWatch), maxWatch))
+	self := s.settings.Load().Host()
+	place, nodes := 0, 1
+	for _, peer := range s.view.Peers() {
+		if host := peer.Beacon().Host; host != self && !peer.Silent() {
+			nodes++
+			if host < self {
+				place++
+			}
+		}
+	}
+	return untilSlot(s.clock.Now(), place, nodes)
+}
+
+// untilSlot returns the time until the slot of the node at a place among nodes.
+// Clocks of hosts are close enough for slots of this length.
+func untilSlot(now time.Time, place, nodes int) time.Duration {
+	round := min(time.Duration(nodes)*watchSlot, maxWatch)
+	due := round / time.Duration(nodes) * time.Duration(place)
+	wait := (due - time.Duration(now.UnixNano())%round + round) % round
+	if wait < minWatch {
+		wait += round
+	}
+	return wait
 }
 
 // adopt puts a configuration in force, unless it is unreadable or older than
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -19,7 +19,7 @@
 	retirePause = 50 * time.Millisecond
 	// graceMargin is what is left of the grace period when the node ends with
 	// calls in progress.
-	graceMargin = 400 * time.Millisecond
+	graceMargin = 600 * time.Millisecond
 	// quietFor is how long nothing may be in progress before the node ends.
 	quietFor = 150 * time.Millisecond
 )
