--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -43,6 +43,9 @@
 	for s.tomb.Alive() {
 		next, err := s.store.WatchFor(s.context(), platform.ConfigurationKey, last, s.watchWait())
 		if err != nil {
+			if !s.tomb.Alive() {
+				return nil
+			}
 			if !lost {
 				_ = level.Warn(s.logger).Log("event", "store-lost", "err", err)
 			}
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -22,15 +22,21 @@
 // register keeps this node's entry in the store and reads those of the others.
 func (s *Sidecar) register() error {
 	lease := uint64(0)
-	pause := storeRetry
+	pause, failing := storeRetry, false
 	for s.tomb.Alive() {
 		err := s.renew(&lease)
 		if err == nil {
 			err = s.lookUp()
 		}
 		wait := leaseRenewal
-		if err != nil {
+		switch {
+		case err == nil && failing:
+			_ = level.Info(s.logger).Log("event", "registered-again")
+		case err != nil && !failing:
 			_ = level.Warn(s.logger).Log("event", "registration-failed", "err", err)
+		}
+		failing = err != nil
+		if failing {
 			wait, pause = pause, min(2*pause, maxStoreRetry)
 		} else {
 			pause = storeRetry
