admission, egress, ingress: expect each route's own run time

Change: the gate learns run times by route and the queue uses them; a repeat of what has not run may use the whole share of the budget, and its calls do not count as repeats.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -31,6 +31,9 @@
 	Depth int
 	// Alone asks that nothing else runs meanwhile.
 	Alone bool
+	// Expected is how long the call is expected to run, 0 for as long as calls
+	// usually do.
+	Expected time.Duration
 	// Priority is lower for more urgent calls of the same depth.
 	Priority int
 }
@@ -135,7 +138,7 @@
 	limit := g.limit(now)
 	service := g.limiter.service
 	wait := service * time.Duration(ahead+1) / time.Duration(limit)
-	if now.Add(wait + service).After(pass.request.Deadline) {
+	if now.Add(wait + g.expected(pass.request)).After(pass.request.Deadline) {
 		return call.Refuse(call.NotRun, call.ReasonDeadline)
 	}
 	heap.Push(&g.queue, pass)
@@ -151,6 +154,14 @@
 	return nil
 }
 
+// expected returns how long a call is expected to run.
+func (g *Gate) expected(request Request) time.Duration {
+	if request.Expected > 0 {
+		return request.Expected
+	}
+	return g.limiter.service
+}
+
 func (g *Gate) queueCapacity() int {
 	return max(1, int(queuePerSlot*float64(g.slots)))
 }
@@ -204,7 +215,7 @@
 func (g *Gate) dispatch(now time.Time) {
 	for g.queue.Len() > 0 {
 		next := g.queue.passes[0]
-		if next.request.Deadline.Before(now.Add(g.limiter.service / 2)) {
+		if next.request.Deadline.Before(now.Add(g.expected(next.request) / 2)) {
 			g.shed(next, call.ReasonDeadline)
 			continue
 		}
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -89,6 +89,7 @@
 	calls     callCounts
 	notified  notified
 	knee      knee
+	times     map[string]*mean
 	callers   map[string]time.Time
 	probes    uint64
 	opened    uint64
@@ -124,7 +125,7 @@
 	g := &Gate{
 		clock: systemClock{}, logger: log.NewNopLogger(), address: address, table: table, notify: func() {},
 		departed: map[departure]struct{}{}, runs: map[string]*Run{},
-		callers: map[string]time.Time{}, notifyLoad: func() {},
+		callers: map[string]time.Time{}, times: map[string]*mean{}, notifyLoad: func() {},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -211,7 +212,9 @@
 	if refused != "" {
 		return Refusal(call.NotRun, refused)
 	}
-	request := admission.Request{Deadline: now.Add(meta.Remaining), Depth: meta.Depth, Priority: meta.Priority}
+	request := admission.Request{
+		Deadline: now.Add(meta.Remaining), Depth: meta.Depth, Priority: meta.Priority, Expected: g.expected(meta.Route),
+	}
 	pass, refusal := a.admission.Admit(now, request)
 	if refusal != nil {
 		return Refusal(call.NotRun, refusal.Reason())
--- a/egress/run.go
+++ b/egress/run.go
@@ -73,6 +73,9 @@
 		if g.runs[meta.ID] == run {
 			delete(g.runs, meta.ID)
 		}
+		if answered {
+			g.observeTime(run.route, now.Sub(run.started))
+		}
 		if answered && run.calls == 0 && run.usual && g.health.slowdownAt(now) <= usualSpeed && g.upstream.instance == instance {
 			g.knee.observe(run.route, now.Sub(run.started), (run.share+g.occupied(now))/2)
 			g.decideKnee()
@@ -102,6 +105,27 @@
 	}
 }
 
+// observeTime records how long a run of a route took; g.mu is held.
+func (g *Gate) observeTime(route string, took time.Duration) {
+	m := g.times[route]
+	if m == nil {
+		m = &mean{}
+		g.times[route] = m
+	}
+	m.add(took.Seconds())
+}
+
+// expected returns how long a run of a route usually takes, 0 when that is not
+// known.
+func (g *Gate) expected(route string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.times[route]; m != nil {
+		return time.Duration(m.value * float64(time.Second))
+	}
+	return 0
+}
+
 // occupied returns the share of the slots in use; g.mu is held.
 func (g *Gate) occupied(now time.Time) float64 {
 	return float64(g.admission.Load(now).Running) / float64(max(g.upstream.slots, 1))
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -80,7 +80,9 @@
 	fastest float32
 	// charged tells that the attempt was taken from the retry budget.
 	charged bool
-	done    bool
+	// repeated tells that another attempt may have run.
+	repeated bool
+	done     bool
 }
 
 // exchange sends the request until it is answered or must not be sent again. It
@@ -221,7 +223,11 @@
 		if hedge {
 			reserve = hedgeReserve
 		}
-		if !s.in.budgets.spend(now, s.service, peers[0].Beacon().Fanout, reserve) {
+		fanout := peers[0].Beacon().Fanout
+		if !s.mayHaveRun() {
+			fanout = 0
+		}
+		if !s.in.budgets.spend(now, s.service, fanout, reserve) {
 			return false
 		}
 	}
@@ -235,7 +241,7 @@
 	s.picks++
 	s.arrivals++
 	s.tried[name] = true
-	a := &attempt{peer: peer, started: now, hedge: hedge, selective: selective, charged: charged, fastest: fastest(s.in.view.Serving(s.service))}
+	a := &attempt{peer: peer, started: now, hedge: hedge, selective: selective, charged: charged, repeated: s.mayHaveRun(), fastest: fastest(s.in.view.Serving(s.service))}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
 	s.live = append(s.live, a)
@@ -245,6 +251,9 @@
 	return true
 }
 
+// mayHaveRun tells whether an attempt has run, or runs now.
+func (s *session) mayHaveRun() bool { return s.uncertain || s.failure != nil || len(s.live) > 0 }
+
 // candidates returns the upstreams to choose from. Those that have refused may
 // be asked once more when no other is left, since what they refused for passes.
 func (s *session) candidates(hedge bool) []fleet.Peer {
