quarantine, egress, ingress: hold requests that bring upstreams down, at all nodes

A run whose connection broke was taken for one that was cancelled, because its context was ended before it was asked for the cause; neither health nor crashes counted it (found by the new test of three crashes in a row).

Change: the cause is read first. Gates count the requests that ran when their upstream ended, tell each other in beacons, and three such ends hold a request; one answer anywhere clears it.

--- a/egress/gate.go
+++ b/egress/gate.go
@@ -16,6 +16,7 @@
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/quarantine"
 	"github.com/banyancross/banyancross/route"
 )
 
@@ -75,6 +76,7 @@
 	notify  func()
 	// notifyLoad is called when callers should choose differently.
 	notifyLoad func()
+	holds      *quarantine.Holds
 	dial       http1.Dial
 	tomb       tomb.Tomb
 
@@ -91,6 +93,7 @@
 	knee      knee
 	times     map[string]*mean
 	callers   map[string]time.Time
+	lost      []loss
 	probes    uint64
 	opened    uint64
 }
@@ -107,6 +110,9 @@
 // WithNotify calls notify whenever the upstream's phase changes.
 func WithNotify(notify func()) Option { return func(g *Gate) { g.notify = notify } }
 
+// WithHolds sets what counts the requests under which upstreams ended.
+func WithHolds(holds *quarantine.Holds) Option { return func(g *Gate) { g.holds = holds } }
+
 // WithLoadNotify calls notify whenever the upstream's load changes so much that
 // its callers should choose differently.
 func WithLoadNotify(notify func()) Option { return func(g *Gate) { g.notifyLoad = notify } }
@@ -126,6 +132,7 @@
 		clock: systemClock{}, logger: log.NewNopLogger(), address: address, table: table, notify: func() {},
 		departed: map[departure]struct{}{}, runs: map[string]*Run{},
 		callers: map[string]time.Time{}, times: map[string]*mean{}, notifyLoad: func() {},
+		holds: quarantine.NewHolds(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -208,6 +215,9 @@
 
 func (g *Gate) do(ctx context.Context, meta hop.Meta, c *Call) *Answer {
 	now := g.clock.Now()
+	if g.holds.Held(now, meta.Fingerprint) {
+		return Refusal(call.NotRun, call.ReasonQuarantined)
+	}
 	a, refused := g.begin(now, meta)
 	if refused != "" {
 		return Refusal(call.NotRun, refused)
@@ -303,8 +313,10 @@
 	}
 	response, err := a.pool.Do(ctx, g.outgoing(a, meta, c, remaining))
 	if err != nil {
+		// finish ends ctx, which tells why there is no answer.
+		answer := g.failed(ctx, a, meta, err)
 		finish(false)
-		return g.failed(ctx, a, err)
+		return answer
 	}
 	answer := platform.ReadAnswer(response.Status, response.Header)
 	g.reported(a, answer, response.Header)
@@ -319,6 +331,7 @@
 		refused.Meta.Ran = true
 		return refused
 	}
+	g.holds.Answered(g.clock.Now(), meta.Fingerprint)
 	g.outcome(response.Status >= http.StatusInternalServerError)
 	return &Answer{
 		Meta: hop.AnswerMeta{Outcome: call.Answered, Ran: true}, Response: response,
@@ -364,7 +377,7 @@
 }
 
 // failed answers for a call that got no answer.
-func (g *Gate) failed(ctx context.Context, a admitted, err error) *Answer {
+func (g *Gate) failed(ctx context.Context, a admitted, meta hop.Meta, err error) *Answer {
 	if http1.KindOf(err) == http1.KindUnreached {
 		g.unreached(a, err)
 		return Refusal(call.NotRun, call.ReasonConnection)
@@ -373,6 +386,7 @@
 	switch context.Cause(ctx) {
 	case nil:
 		g.outcome(true)
+		g.suspect(meta.Fingerprint)
 	case context.DeadlineExceeded:
 		reason = call.ReasonDeadline
 		g.outcome(true)
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -171,13 +171,17 @@
 		return
 	}
 	g.mu.Lock()
+	now := g.clock.Now()
 	known := g.upstream.instance == a.instance && !g.upstream.unreachable
+	var suspects []uint64
 	if known {
 		g.upstream.unreachable = true
+		suspects = g.crashed(now)
 	}
 	g.mu.Unlock()
 	if known {
-		_ = level.Warn(g.logger).Log("event", "upstream-unreachable", "upstream", a.instance, "err", err)
+		g.holds.Crashed(now, suspects)
+		_ = level.Warn(g.logger).Log("event", "upstream-unreachable", "upstream", a.instance, "err", err, "suspects", len(suspects))
 		g.notify()
 	}
 }
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/codec"
+	"github.com/banyancross/banyancross/quarantine"
 )
 
 // Phase is the state of the upstream beside a node.
@@ -61,6 +62,8 @@
 	// as far as the node has compared Compared of them.
 	Crowding float32 `cbor:"16,keyasint,omitempty"`
 	Compared float32 `cbor:"17,keyasint,omitempty"`
+	// Holds tells of requests under which upstreams ended.
+	Holds []quarantine.Record `cbor:"18,keyasint,omitempty"`
 	// Peers counts the nodes that the sender knows.
 	Peers int `cbor:"14,keyasint,omitempty"`
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -69,7 +69,7 @@
 		ID: s.headers.ID(), Service: s.service, Upstream: b.Upstream, Remaining: remaining,
 		Idempotent: s.route.Idempotent, Received: s.received, Revision: s.table.Revision(),
 		Caller: s.in.caller(), Priority: s.route.Priority, Selective: a.selective,
-		Depth: s.depth, Repeated: a.repeated, Fastest: a.fastest, From: s.in.host, Route: s.route.Name,
+		Depth: s.depth, Repeated: a.repeated, Fastest: a.fastest, From: s.in.host, Route: s.route.Name, Fingerprint: s.fingerprint,
 	}
 	if !a.selective {
 		meta.Patience = min(s.patience(now), remaining/2)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
 	"github.com/banyancross/banyancross/call"
@@ -15,6 +16,7 @@
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/quarantine"
 	"github.com/banyancross/banyancross/route"
 	"github.com/banyancross/banyancross/routing"
 )
@@ -75,6 +77,7 @@
 	observe func(Observation)
 	parent  func(id string) (egress.Run, bool)
 	host    string
+	holds   *quarantine.Holds
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -103,6 +106,9 @@
 	return func(in *Ingress) { in.parent = parent }
 }
 
+// WithHolds sets what counts the requests under which upstreams ended.
+func WithHolds(holds *quarantine.Holds) Option { return func(in *Ingress) { in.holds = holds } }
+
 // WithHost sets the name by which gates know this node.
 func WithHost(host string) Option { return func(in *Ingress) { in.host = host } }
 
@@ -127,6 +133,7 @@
 	in := &Ingress{
 		clock: systemClock{}, logger: log.NewNopLogger(), table: table, caller: caller, domain: domain,
 		view: view, sender: sender, observe: func(Observation) {}, times: map[string]time.Duration{}, sizes: map[string]int64{},
+		holds:  quarantine.NewHolds(),
 		parent: func(string) (egress.Run, bool) { return egress.Run{}, false },
 		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -172,6 +179,11 @@
 		s.fail(http.StatusNotFound, call.ReasonNoRoute)
 		return
 	}
+	s.fingerprint = Fingerprint(r)
+	if in.holds.Held(s.received, s.fingerprint) {
+		s.refuse(call.ReasonQuarantined)
+		return
+	}
 	s.service = s.route.Next()
 	s.timeout = defaultTimeout
 	if bound := s.headers.Timeout(); bound > 0 {
@@ -193,6 +205,18 @@
 	s.deliver(ctx, s.exchange(ctx))
 }
 
+// Fingerprint identifies a request across its resends, which have identities of
+// their own.
+func Fingerprint(r *http1.Request) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.Target} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(r.Content)
+	return digest.Sum64()
+}
+
 // jittered returns a time between low and low + spread.
 func (in *Ingress) jittered(low, spread time.Duration) time.Duration {
 	in.mu.Lock()
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -42,15 +42,17 @@
 
 // session is one request on its way to an answer.
 type session struct {
-	in       *Ingress
-	request  *http1.Request
-	reply    *http1.Reply
-	headers  platform.Request
-	table    *route.Table
-	route    *route.Route
-	service  string
-	received time.Time
-	timeout  time.Duration
+	in      *Ingress
+	request *http1.Request
+	reply   *http1.Reply
+	headers platform.Request
+	table   *route.Table
+	route   *route.Route
+	service string
+	// fingerprint identifies the request across its resends.
+	fingerprint uint64
+	received    time.Time
+	timeout     time.Duration
 	// depth counts the calls above this one in its chain.
 	depth int
 
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -1,6 +1,17 @@
 package sidecar
 
-import "time"
+import (
+	"time"
+
+	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/ingress"
+)
 
 // UntilSlot is untilSlot for tests.
 func UntilSlot(now time.Time, place, nodes int) time.Duration { return untilSlot(now, place, nodes) }
+
+// Holds tells whether a request is held.
+func (s *Sidecar) Holds(method, host, target, content string) bool {
+	fingerprint := ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)})
+	return s.holds.Held(s.clock.Now(), fingerprint)
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/ingress"
 	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/quarantine"
 	"github.com/banyancross/banyancross/route"
 	"github.com/banyancross/banyancross/settings"
 )
@@ -57,6 +58,7 @@
 	viewed atomic.Bool
 
 	view    *fleet.View
+	holds   *quarantine.Holds
 	gate    *egress.Gate
 	ingress *ingress.Ingress
 	hops    *hops
@@ -108,7 +110,7 @@
 func New(conf *settings.Sidecar, options ...Option) (*Sidecar, error) {
 	s := &Sidecar{
 		clock: systemClock{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
-		observe: func(ingress.Observation) {}, view: fleet.NewView(),
+		observe: func(ingress.Observation) {}, view: fleet.NewView(), holds: quarantine.NewHolds(),
 		changed: make(chan struct{}, 1), loaded: make(chan struct{}, 1), fetches: make(chan fleet.Peer, 1),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -122,10 +124,10 @@
 	s.incarnation = s.clock.Now().UnixNano()
 	s.logger = log.With(s.logger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.Backend(), s.table.Load, egress.WithClock(s.clock),
-		egress.WithLogger(s.logger), egress.WithNotify(s.announce), egress.WithLoadNotify(s.announceLoad))
+		egress.WithLogger(s.logger), egress.WithNotify(s.announce), egress.WithLoadNotify(s.announceLoad), egress.WithHolds(s.holds))
 	s.hops = newHops(s.clock, conf.Host(), s.gate)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.hops,
-		ingress.WithClock(s.clock), ingress.WithLogger(s.logger), ingress.WithCallers(s.gate.Caller), ingress.WithHost(conf.Host()),
+		ingress.WithClock(s.clock), ingress.WithLogger(s.logger), ingress.WithCallers(s.gate.Caller), ingress.WithHost(conf.Host()), ingress.WithHolds(s.holds),
 		ingress.WithObserver(newRequestLog(s).observe),
 		ingress.WithBudget(ingress.Budget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
 	if err := s.listen(conf); err != nil {
@@ -267,5 +269,15 @@
 	return 0
 }
 
+// Sees tells whether calls may be sent to the upstream beside a node.
+func (s *Sidecar) Sees(host string) bool {
+	for _, peer := range s.view.Peers() {
+		if b := peer.Beacon(); b.Host == host {
+			return b.Phase == fleet.Ready && !peer.Silent()
+		}
+	}
+	return false
+}
+
 // Running returns how many calls run at the upstream beside this node.
 func (s *Sidecar) Running() int { return s.gate.Running() }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -65,13 +67,24 @@
 	w.store.Store("op/config", fmt.Appendf(nil, configuration, version))
 }
 
+// nextPort is below the ports that outgoing connections are given.
+var nextPort = 20000 + os.Getpid()%8000
+
 // freeAddress returns an address that nothing listens at.
 func freeAddress() string {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range 100 {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
+	}
+	Fail("no free port")
+	return ""
 }
 
 // add starts a host whose backend server has not reported itself yet.
@@ -112,7 +125,7 @@
 
 func (h *host) start(options ...sidecar.Option) {
 	GinkgoHelper()
-	s, err := sidecar.New(h.conf, options...)
+	s, err := sidecar.New(h.conf, append(options, sidecar.WithLogger(log.NewJSONLogger(GinkgoWriter)))...)
 	Expect(err).NotTo(HaveOccurred())
 	h.sidecar = s
 	DeferCleanup(s.Kill)
@@ -181,6 +194,12 @@
 	Eventually(func() string { return w.send(h, http.MethodGet, "/view/warm").body }).Should(HavePrefix(instance))
 }
 
+// knows waits until a node sees another one's upstream.
+func (w *world) knows(h, other *host) {
+	GinkgoHelper()
+	Eventually(func() bool { return h.sidecar.Sees(other.name) }).Should(BeTrue())
+}
+
 // runs returns the runs of a request at all backend servers.
 func (w *world) runs(id string) (runs []standin.Run) {
 	for _, h := range w.hosts {
@@ -376,6 +395,26 @@
 		Eventually(func() int { return a.sidecar.Running() + b.sidecar.Running() }).Should(BeZero())
 	})
 
+	It("holds a request under which three upstreams have ended", func() {
+		w := newWorld()
+		w.publish(1)
+		entry := w.add()
+		for range 4 {
+			h := w.add()
+			h.beat("ready")
+			h.backend.Fail(standin.FaultCrash)
+			w.knows(entry, h)
+		}
+		for i := range 3 {
+			r := call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i))
+			Expect(r.status).To(Equal(http.StatusBadGateway))
+			Expect(w.runs(fmt.Sprintf("d%d", i))).To(HaveLen(1))
+		}
+		Eventually(func() bool { return entry.sidecar.Holds("POST", "x", "/pay/deadly", "body") }).Should(BeTrue())
+		Expect(call(entry, http.MethodPost, "/pay/deadly", "last").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(w.runs("last")).To(BeEmpty())
+	})
+
 	It("gets a newer configuration from another node when it has lost the store", func() {
 		w := newWorld()
 		w.publish(1)
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -21,6 +21,8 @@
 	FaultLost Fault = "lost"
 	// FaultMute runs the request and never answers.
 	FaultMute Fault = "mute"
+	// FaultCrash ends the backend server while it runs the request.
+	FaultCrash Fault = "crash"
 	// FaultShed refuses the request without running it.
 	FaultShed Fault = "shed"
 	// FaultError runs the request and fails.
@@ -240,6 +242,9 @@
 	switch fault {
 	case FaultLost:
 		panic(http.ErrAbortHandler)
+	case FaultCrash:
+		_ = b.server.Close()
+		panic(http.ErrAbortHandler)
 	case FaultMute:
 		<-r.Context().Done()
 	case FaultError:
