egress, fleet: test gates, beacons and the share of the slots

A failing upstream was never tried again: the gate asked twice whether a call is its sample, before and after the queue, and the second answer was no. It asks once now.

--- /dev/null
+++ b/egress/export_test.go
@@ -0,0 +1,17 @@
+package egress
+
+import "time"
+
+// Knee is knee for tests.
+type Knee struct{ k knee }
+
+// Observe is observe for tests.
+func (k *Knee) Observe(route string, took time.Duration, share float64) {
+	k.k.observe(route, took, share)
+}
+
+// Others sets what other upstreams found.
+func (k *Knee) Others(ratio, weight float64) { k.k.othersRatio, k.k.othersWeight = ratio, weight }
+
+// Share is share for tests.
+func (k *Knee) Share() float64 { return k.k.share() }
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -218,7 +218,10 @@
 	if g.holds.Held(now, meta.Fingerprint) {
 		return Refusal(call.NotRun, call.ReasonQuarantined)
 	}
-	a, refused := g.begin(now, meta)
+	a, refused := g.begin(meta)
+	if refused == "" {
+		refused = g.decline(now, meta)
+	}
 	if refused != "" {
 		return Refusal(call.NotRun, refused)
 	}
@@ -233,7 +236,7 @@
 		return Refusal(call.NotRun, reason)
 	}
 	// The upstream may have begun to leave while the call waited.
-	if _, refused := g.begin(g.clock.Now(), meta); refused != "" {
+	if _, refused := g.begin(meta); refused != "" {
 		pass.End(g.clock.Now(), false)
 		return Refusal(call.NotRun, refused)
 	}
@@ -248,7 +251,7 @@
 }
 
 // begin tells why a call must not run now, or returns what it uses.
-func (g *Gate) begin(now time.Time, meta hop.Meta) (admitted, call.Reason) {
+func (g *Gate) begin(meta hop.Meta) (admitted, call.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -258,14 +261,26 @@
 		return admitted{}, call.ReasonNotReady
 	case g.phase() == fleet.Draining:
 		return admitted{}, call.ReasonLeaving
-	case meta.Selective && g.health.slowdownAt(now) >= slowed*max(1, float64(meta.Fastest)):
-		return admitted{}, call.ReasonSlowed
-	case meta.Selective && g.health.failing(now) && !g.health.sample():
-		return admitted{}, call.ReasonFailing
 	}
 	return admitted{admission: g.admission, pool: g.pool, instance: g.upstream.instance}, ""
 }
 
+// decline tells why a selective call had better run elsewhere.
+func (g *Gate) decline(now time.Time, meta hop.Meta) call.Reason {
+	if !meta.Selective {
+		return ""
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.health.slowdownAt(now) >= slowed*max(1, float64(meta.Fastest)):
+		return call.ReasonSlowed
+	case g.health.failing(now) && !g.health.sample():
+		return call.ReasonFailing
+	}
+	return ""
+}
+
 // wait returns why a pass was not granted within the caller's patience.
 func (g *Gate) wait(ctx context.Context, pass *admission.Pass, patience time.Duration) call.Reason {
 	select {
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,135 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+func beacon(host string, incarnation int64, sequence uint64) fleet.Beacon {
+	return fleet.Beacon{
+		Host: host, Incarnation: incarnation, Sequence: sequence, Calls: "10.0.0.1:1", Datagrams: "10.0.0.1:2-" + host,
+		Service: "stock", Upstream: "i-" + host, Phase: fleet.Ready,
+	}
+}
+
+func hosts(peers []fleet.Peer) []string {
+	var names []string
+	for _, peer := range peers {
+		names = append(names, peer.Beacon().Host)
+	}
+	return names
+}
+
+var _ = Describe("a view", func() {
+	It("drops beacons that were overtaken", func() {
+		v := fleet.NewView()
+		v.Learn(start, beacon("a", 1, 5))
+		draining := beacon("a", 1, 4)
+		draining.Phase = fleet.Draining
+		Expect(v.Learn(start, draining).Changed).To(BeFalse())
+		Expect(hosts(v.Serving("stock"))).To(ConsistOf("a"))
+		restarted := beacon("a", 2, 1)
+		Expect(v.Learn(start, restarted).Restarted).To(BeTrue())
+		Expect(v.Learn(start, beacon("a", 1, 99)).Changed).To(BeFalse())
+	})
+
+	It("prefers nodes that are heard, and falls back on silent ones", func() {
+		v := fleet.NewView()
+		v.Learn(start, beacon("a", 1, 1))
+		v.Learn(start, beacon("b", 1, 1))
+		later := start.Add(fleet.SilentAfter + time.Millisecond)
+		v.Learn(later, beacon("a", 1, 2))
+		Expect(hosts(v.Expire(later))).To(ConsistOf("b"))
+		Expect(hosts(v.Serving("stock"))).To(ConsistOf("a"))
+		gone := beacon("a", 1, 3)
+		gone.Stopping = true
+		v.Learn(later, gone)
+		Expect(hosts(v.Serving("stock"))).To(ConsistOf("b"))
+		Expect(v.Learn(later, beacon("b", 1, 2)).Returned).To(BeTrue())
+	})
+
+	It("does not count the time in which it could not listen", func() {
+		v := fleet.NewView()
+		v.Learn(start, beacon("a", 1, 1))
+		v.Paused(5 * time.Second)
+		Expect(v.Expire(start.Add(5 * time.Second))).To(BeEmpty())
+	})
+
+	It("takes the store's word only for nodes that it does not hear", func() {
+		v := fleet.NewView()
+		v.Introduce(start, beacon("a", 1, 1))
+		Expect(v.Peers()[0].Silent()).To(BeTrue())
+		v.Learn(start, beacon("a", 2, 1))
+		v.Introduce(start, beacon("a", 1, 1))
+		Expect(v.Peers()[0].Beacon().Incarnation).To(Equal(int64(2)))
+		moved := beacon("a", 3, 0)
+		moved.Calls = "10.0.0.9:1"
+		v.Introduce(start, moved)
+		Expect(v.Peers()[0].Beacon().Calls).To(Equal("10.0.0.9:1"))
+	})
+
+	It("takes notices of the load from their sender's address", func() {
+		v := fleet.NewView()
+		b := beacon("a", 1, 5)
+		v.Learn(start, b)
+		n := fleet.NewNotice(6, call.Load{Running: 7, Limit: 9, Slowdown: 5})
+		data, err := n.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fleet.IsNotice(data)).To(BeTrue())
+		decoded, err := fleet.DecodeNotice(data)
+		Expect(err).NotTo(HaveOccurred())
+		got, ok := v.Notice(start, b.Datagrams, decoded)
+		Expect(ok).To(BeTrue())
+		Expect(got.Load.Running).To(Equal(uint32(7)))
+		_, ok = v.Notice(start, b.Datagrams, decoded)
+		Expect(ok).To(BeFalse(), "a doubled notice")
+		_, ok = v.Notice(start, "10.9.9.9:1", fleet.NewNotice(9, call.Load{}))
+		Expect(ok).To(BeFalse(), "an unknown sender")
+	})
+})
+
+var _ = Describe("a beacon", func() {
+	It("fits into one packet and comes back as it was", func() {
+		b := beacon("sidecar-sierra-quito-12", 1_800_000_000_000_000_000, 12345)
+		data, err := b.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fleet.IsNotice(data)).To(BeFalse())
+		Expect(fleet.Decode(data)).To(Equal(b))
+	})
+
+	DescribeTable("that cannot be read is refused", func(data []byte) {
+		_, err := fleet.Decode(data)
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("empty", []byte{}),
+		Entry("noise", []byte("hello")),
+		Entry("without a host", []byte{0xa0}),
+		Entry("with a field of another type", []byte{0xa1, 0x01, 0x05}),
+	)
+})
+
+func FuzzDecode(f *testing.F) {
+	data, err := beacon("a", 1, 1).Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0x80})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = fleet.Decode(data)
+		_, _ = fleet.DecodeNotice(data)
+	})
+}
