--- /dev/null
+++ b/telemetry/output_test.go
@@ -0,0 +1,57 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/telemetry"
+)
+
+func TestTelemetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "telemetry")
+}
+
+// pipe blocks its writer until it is opened.
+type pipe struct {
+	open   chan struct{}
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (p *pipe) Write(data []byte) (int, error) {
+	<-p.open
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.buffer.Write(data)
+}
+
+func (p *pipe) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.buffer.String()
+}
+
+var _ = Describe("the output of log lines", func() {
+	It("never waits for a reader, and says how many lines it dropped", func() {
+		p := &pipe{open: make(chan struct{})}
+		output := telemetry.NewOutput(p)
+		const lines = 10000
+		for i := range lines {
+			_, err := fmt.Fprintf(output, "line %d\n", i)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		dropped := output.Dropped()
+		Expect(dropped).To(BeNumerically(">", 0))
+		close(p.open)
+		Eventually(p.text).Should(ContainSubstring(fmt.Sprintf(`"event":"lines-dropped","level":"warn","count":%d`, dropped)))
+		output.Close()
+		Expect(strings.Count(p.text(), "line ") + int(dropped)).To(Equal(lines))
+	})
+})
