--- /dev/null
+++ b/cmd/banyancross/explain.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+)
+
+// explainCommand collects what several nodes logged about one request.
+type explainCommand struct {
+	Request string   `required:"" help:"The identity of the request."`
+	Files   []string `arg:"" type:"existingfile" help:"The nodes' logs."`
+}
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// logLine is a line about the request.
+type logLine struct {
+	time, host, text string
+}
+
+// Run implements the command.
+func (command *explainCommand) Run(c console) error {
+	var lines []logLine
+	for _, name := range command.Files {
+		found, err := command.read(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("no line about request %q in %d files", command.Request, len(command.Files))
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].time < lines[j].time })
+	for _, line := range lines {
+		if _, err := fmt.Fprintf(c.out, "%s %s %s\n", line.time, line.host, line.text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (command *explainCommand) read(name string) ([]logLine, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	var lines []logLine
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if line, ok := command.match(scanner.Text()); ok {
+			lines = append(lines, line)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+// match reads a line that is about the request or a call that its run made. A
+// log collector may have put something before the JSON object.
+func (command *explainCommand) match(text string) (logLine, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 || !strings.Contains(text, command.Request) {
+		return logLine{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal([]byte(text[at:]), &fields) != nil {
+		return logLine{}, false
+	}
+	id, _ := fields["request"].(string)
+	if id != command.Request && !strings.HasPrefix(id, command.Request+".") {
+		return logLine{}, false
+	}
+	line := logLine{time: fmt.Sprint(fields["time"]), host: fmt.Sprint(fields["host"])}
+	for _, name := range []string{"time", "host", "level", "omitted"} {
+		delete(fields, name)
+	}
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		if value := fmt.Sprint(fields[name]); value != "" {
+			parts = append(parts, name+"="+value)
+		}
+	}
+	line.text = strings.Join(parts, " ")
+	return line, true
+}
--- a/cmd/banyancross/main.go
+++ b/cmd/banyancross/main.go
@@ -26,6 +26,7 @@
 type cli struct {
 	Node     nodeCommand     `cmd:"" help:"Run the node beside a backend server."`
 	Sidecar  sidecarCommand  `cmd:"" help:"Run the node on a host that the platform runs."`
+	Explain  explainCommand  `cmd:"" help:"Collect what several nodes logged about one request."`
 	Note     noteCommand     `cmd:"" help:"Publish, amend, withdraw and read release notes."`
 	Status   statusCommand   `cmd:"" help:"Show services, upstreams and nodes."`
 	Totals   totalsCommand   `cmd:"" help:"Show a day's totals."`
--- a/cmd/banyancross/sidecar.go
+++ b/cmd/banyancross/sidecar.go
@@ -35,7 +35,10 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	output := telemetry.NewOutput(c.out)
 	defer output.Close()
-	s, err := sidecar.New(conf, sidecar.WithLogger(telemetry.NewLogger(output, conf.LogLevel())),
+	metrics := telemetry.NewMetrics(map[string]string{"host": conf.Host(), "failure_domain": conf.FailureDomain()})
+	defer func() { _ = metrics.Close() }()
+	s, err := sidecar.New(conf, sidecar.WithMetrics(metrics.Handler()), sidecar.WithObserver(metrics.ObserveRequest),
+		sidecar.WithGauge(metrics.SetGauge), sidecar.WithLogger(telemetry.NewLogger(output, conf.LogLevel())),
 		sidecar.WithReread(func() (*settings.Sidecar, error) { return settings.ReadSidecar(command.Settings) }))
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -94,8 +94,8 @@
 	times     map[string]*mean
 	callers   map[string]time.Time
 	lost      []loss
+	runLog    runLog
 	probes    uint64
-	opened    uint64
 }
 
 // Option configures a Gate.
@@ -132,7 +132,7 @@
 		clock: systemClock{}, logger: log.NewNopLogger(), address: address, table: table, notify: func() {},
 		departed: map[departure]struct{}{}, runs: map[string]*Run{},
 		callers: map[string]time.Time{}, times: map[string]*mean{}, notifyLoad: func() {},
-		holds: quarantine.NewHolds(),
+		holds: quarantine.NewHolds(), runLog: newRunLog(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -240,7 +240,9 @@
 		pass.End(g.clock.Now(), false)
 		return Refusal(call.NotRun, refused)
 	}
-	return g.run(ctx, a, meta, c, pass, now)
+	answer := g.run(ctx, a, meta, c, pass, now)
+	g.ended(meta, answer, g.clock.Now().Sub(now))
+	return answer
 }
 
 // admitted are the parts that one call uses, taken together.
--- a/egress/load.go
+++ b/egress/load.go
@@ -34,6 +34,13 @@
 	g.callers[host] = now
 }
 
+// Probes returns how many probes were sent.
+func (g *Gate) Probes() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.probes
+}
+
 // Callers returns the nodes that sent calls here lately.
 func (g *Gate) Callers() []string {
 	now := g.clock.Now()
--- /dev/null
+++ b/egress/runlog.go
@@ -0,0 +1,48 @@
+package egress
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/hop"
+)
+
+// runLines bounds the lines a second about runs.
+const runLines = 60
+
+// runLog writes a line about each run that may not be repeated, and about each
+// that gave no answer. Its entry node may be lost, and this line all that is
+// left.
+type runLog struct {
+	limit   *rate.Limiter
+	omitted uint64
+}
+
+func newRunLog() runLog { return runLog{limit: rate.NewLimiter(runLines, runLines)} }
+
+// ended records how a run ended.
+func (g *Gate) ended(meta hop.Meta, answer *Answer, took time.Duration) {
+	if meta.Idempotent && answer.Meta.Outcome == call.Answered {
+		return
+	}
+	now := g.clock.Now()
+	g.mu.Lock()
+	if !g.runLog.limit.AllowN(now, 1) {
+		g.runLog.omitted++
+		g.mu.Unlock()
+		return
+	}
+	omitted := g.runLog.omitted
+	g.runLog.omitted = 0
+	g.mu.Unlock()
+	status := 0
+	if answer.Response != nil {
+		status = answer.Response.Status
+	}
+	_ = level.Info(g.logger).Log("event", "run", "request", meta.ID, "route", meta.Route, "upstream", meta.Upstream,
+		"entry", meta.From, "idempotent", meta.Idempotent, "outcome", answer.Meta.Outcome, "reason", answer.Meta.Reason,
+		"status", status, "took-ms", took.Milliseconds(), "left-ms", meta.Remaining.Milliseconds(), "omitted", omitted)
+}
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/codec"
@@ -64,8 +65,8 @@
 	Compared float32 `cbor:"17,keyasint,omitempty"`
 	// Holds tells of requests under which upstreams ended.
 	Holds []quarantine.Record `cbor:"18,keyasint,omitempty"`
-	// Peers counts the nodes that the sender knows.
-	Peers int `cbor:"14,keyasint,omitempty"`
+	// Pause is when the receiver may expect the next beacon.
+	Pause time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
 // Encode returns the datagram.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -61,6 +61,15 @@
 		Expect(v.Learn(later, beacon("b", 1, 2)).Returned).To(BeTrue())
 	})
 
+	It("waits longer for a node that announced a longer pause", func() {
+		v := fleet.NewView()
+		b := beacon("a", 1, 1)
+		b.Pause = 2 * time.Second
+		v.Learn(start, b)
+		Expect(v.Expire(start.Add(3 * time.Second))).To(BeEmpty())
+		Expect(hosts(v.Expire(start.Add(5 * time.Second)))).To(ConsistOf("a"))
+	})
+
 	It("does not count the time in which it could not listen", func() {
 		v := fleet.NewView()
 		v.Learn(start, beacon("a", 1, 1))
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// SilentAfter is how long a node may go unheard before calls avoid it: four
-	// beacons at their usual pace.
+	// SilentAfter is how long a node that often sends beacons may go unheard
+	// before calls avoid it: four beacons at their usual pace.
 	SilentAfter = 900 * time.Millisecond
+	// missedBeacons is how many beacons a node that sends them rarely may miss.
+	missedBeacons = 2
 	// forgetAfter is how long a silent node is remembered, longer than its
 	// entry in the store lasts.
 	forgetAfter = 2 * time.Minute
@@ -132,7 +134,7 @@
 			delete(v.peers, host)
 			continue
 		}
-		if !peer.silent && quiet > SilentAfter {
+		if !peer.silent && quiet > max(SilentAfter, missedBeacons*peer.beacon.Pause) {
 			peer.silent = true
 			lost = append(lost, *peer)
 		}
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -13,6 +13,12 @@
 const (
 	// beaconInterval is the usual pause between beacons.
 	beaconInterval = 225 * time.Millisecond
+	// strangers is how many nodes that send no calls here get a beacon each
+	// time, up to strangerFleet nodes; larger fleets get fewer, so that beacons
+	// keep within the control traffic of a node.
+	strangers     = 8
+	minStrangers  = 2
+	strangerFleet = 80
 	// maxBeacon bounds a datagram, in bytes; it stays within one packet.
 	maxBeacon = 1400
 	// beaconGap is the least pause between beacons that tell of a change.
@@ -43,7 +49,7 @@
 	b := fleet.Beacon{
 		Host: conf.Host(), Incarnation: s.incarnation, Sequence: s.sequence.Add(1), Calls: conf.Nodes(),
 		Datagrams: conf.Datagrams(), FailureDomain: conf.FailureDomain(),
-		Stopping: s.stopping.Load(), Peers: len(s.view.Peers()),
+		Stopping: s.stopping.Load(),
 	}
 	if table := s.table.Load(); table != nil {
 		b.Revision = table.Revision()
@@ -55,7 +61,7 @@
 
 // sendBeacons tells the other nodes about this one.
 func (s *Sidecar) sendBeacons() error {
-	last := s.clock.Now()
+	last, everybody := s.clock.Now(), true
 	for {
 		now := s.clock.Now()
 		if late := now.Sub(last) - beaconInterval; late > pauseNoticed {
@@ -67,7 +73,8 @@
 			_ = level.Warn(s.logger).Log("event", "node-silent", "node", peer.Beacon().Host, "heard", now.Sub(peer.Heard()))
 			s.hops.reset(peer.Beacon())
 		}
-		s.broadcast()
+		s.broadcast(everybody)
+		everybody = false
 		next := s.clock.After(beaconInterval)
 		for waiting := true; waiting; {
 			select {
@@ -79,7 +86,7 @@
 				if !s.sleep(beaconGap) {
 					return nil
 				}
-				waiting = false
+				waiting, everybody = false, true
 			case <-s.loaded:
 				s.tellCallers()
 			}
@@ -89,10 +96,7 @@
 
 // tellCallers sends a beacon to the nodes that send calls here.
 func (s *Sidecar) tellCallers() {
-	callers := map[string]bool{}
-	for _, host := range s.gate.Callers() {
-		callers[host] = true
-	}
+	callers := s.callersOf()
 	data, err := fleet.NewNotice(s.sequence.Add(1), s.gate.Load()).Encode()
 	if err != nil {
 		_ = level.Error(s.logger).Log("event", "beacon-failed", "err", err)
@@ -106,24 +110,69 @@
 	}
 }
 
-// broadcast sends one beacon to every known node.
-func (s *Sidecar) broadcast() {
+// broadcast sends a beacon to everybody, or to the nodes that send calls here
+// and some others in turn.
+func (s *Sidecar) broadcast(everybody bool) {
 	b := s.beacon()
 	s.view.Learn(s.clock.Now(), b)
 	s.ingress.Report(b)
+	peers := s.view.Peers()
+	turn := s.strangersTurn(len(peers))
+	rarely := beaconInterval * time.Duration(len(peers)/max(len(turn), 1)+1)
+	often, seldom := s.encoded(b, beaconInterval), s.encoded(b, rarely)
+	callers := s.callersOf()
+	for i, peer := range peers {
+		host := peer.Beacon().Host
+		switch {
+		case host == b.Host:
+		case callers[host]:
+			s.sendTo(peer.Beacon().Datagrams, often)
+		case everybody || turn[i]:
+			s.sendTo(peer.Beacon().Datagrams, seldom)
+		}
+	}
+	s.compare(b, peers)
+}
+
+// strangersTurn returns the places of the nodes whose turn it is.
+func (s *Sidecar) strangersTurn(nodes int) map[int]bool {
+	count := min(nodes, strangers)
+	if nodes > strangerFleet {
+		count = max(minStrangers, strangers*strangerFleet/nodes)
+	}
+	turn := make(map[int]bool, count)
+	for range count {
+		turn[s.turn%nodes] = true
+		s.turn++
+	}
+	return turn
+}
+
+// encoded returns the datagram of a beacon, nil when it cannot be written.
+func (s *Sidecar) encoded(b fleet.Beacon, pause time.Duration) []byte {
+	b.Pause = pause
 	data, err := b.Encode()
 	if err != nil {
 		_ = level.Error(s.logger).Log("event", "beacon-failed", "err", err)
-		return
 	}
+	return data
+}
+
+// callersOf returns the nodes that send calls here.
+func (s *Sidecar) callersOf() map[string]bool {
+	callers := map[string]bool{}
+	for _, host := range s.gate.Callers() {
+		callers[host] = true
+	}
+	return callers
+}
+
+// compare tells the gate what the other upstreams of its service found.
+func (s *Sidecar) compare(b fleet.Beacon, peers []fleet.Peer) {
 	ratio, weight := 0.0, 0.0
-	for _, peer := range s.view.Peers() {
+	for _, peer := range peers {
 		other := peer.Beacon()
-		if other.Host == b.Host {
-			continue
-		}
-		s.sendTo(other.Datagrams, data)
-		if other.Service == b.Service {
+		if other.Host != b.Host && other.Service == b.Service {
 			ratio += float64(other.Crowding) * float64(other.Compared)
 			weight += float64(other.Compared)
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -48,6 +48,7 @@
 	metrics     http.Handler
 	observe     func(ingress.Observation)
 	reread      func() (*settings.Sidecar, error)
+	gauge       func(name string, value float64)
 
 	settings atomic.Pointer[settings.Sidecar]
 	table    atomic.Pointer[route.Table]
@@ -70,6 +71,8 @@
 	loaded  chan struct{}
 	fetches chan fleet.Peer
 	tomb    tomb.Tomb
+	// turn counts the beacons to nodes that send no calls here.
+	turn int
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -95,6 +98,11 @@
 	return func(s *Sidecar) { s.observe = observe }
 }
 
+// WithGauge sets what takes the figures of the process, once a second.
+func WithGauge(gauge func(name string, value float64)) Option {
+	return func(s *Sidecar) { s.gauge = gauge }
+}
+
 // WithReread sets how changed settings are read.
 func WithReread(reread func() (*settings.Sidecar, error)) Option {
 	return func(s *Sidecar) { s.reread = reread }
@@ -110,7 +118,7 @@
 func New(conf *settings.Sidecar, options ...Option) (*Sidecar, error) {
 	s := &Sidecar{
 		clock: systemClock{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
-		observe: func(ingress.Observation) {}, view: fleet.NewView(), holds: quarantine.NewHolds(),
+		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, view: fleet.NewView(), holds: quarantine.NewHolds(),
 		changed: make(chan struct{}, 1), loaded: make(chan struct{}, 1), fetches: make(chan fleet.Peer, 1),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -236,6 +244,7 @@
 	s.tomb.Go(s.sendBeacons)
 	s.tomb.Go(s.receiveBeacons)
 	s.tomb.Go(s.fetchConfigurations)
+	s.tomb.Go(s.measure)
 }
 
 // sleep waits and tells whether the node still runs.
