--- /dev/null
+++ b/egress/attempt.go
@@ -0,0 +1,228 @@
+package egress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/banyancross/banyancross/admission"
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/platform"
+)
+
+// Do runs one attempt. The answer is never nil, and its Finish must be called.
+func (g *Gate) Do(ctx context.Context, meta hop.Meta, c *Call) *Answer {
+	g.calledBy(meta.From)
+	answer := g.do(ctx, meta, c)
+	load := g.noteLoad()
+	answer.Meta.ID, answer.Meta.Gate, answer.Meta.Load = meta.ID, true, &load
+	if table := g.table(); table != nil {
+		answer.Meta.Revision = table.Revision()
+	}
+	return answer
+}
+
+func (g *Gate) do(ctx context.Context, meta hop.Meta, c *Call) *Answer {
+	now := g.clock.Now()
+	if g.holds.Held(now, meta.Fingerprint) {
+		return Refusal(call.NotRun, call.ReasonQuarantined)
+	}
+	a, refused := g.begin(meta)
+	if refused == "" {
+		refused = g.decline(now, meta)
+	}
+	if refused != "" {
+		return Refusal(call.NotRun, refused)
+	}
+	request := admission.Request{
+		Deadline: now.Add(meta.Remaining), Depth: meta.Depth, Priority: meta.Priority, Expected: g.expected(meta.Route),
+	}
+	pass, refusal := a.admission.Admit(now, request)
+	if refusal != nil {
+		return Refusal(call.NotRun, refusal.Reason())
+	}
+	if reason := g.wait(ctx, pass, meta.Patience); reason != "" {
+		return Refusal(call.NotRun, reason)
+	}
+	// The upstream may have begun to leave while the call waited.
+	if _, refused := g.begin(meta); refused != "" {
+		pass.End(g.clock.Now(), false)
+		return Refusal(call.NotRun, refused)
+	}
+	answer := g.run(ctx, a, meta, c, pass, now)
+	g.ended(meta, answer, g.clock.Now().Sub(now))
+	return answer
+}
+
+// admitted are the parts that one call uses, taken together.
+type admitted struct {
+	admission *admission.Gate
+	pool      *http1.Pool
+	instance  string
+}
+
+// begin tells why a call must not run now, or returns what it uses.
+func (g *Gate) begin(meta hop.Meta) (admitted, call.Reason) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.upstream.instance != meta.Upstream || g.upstream.service != meta.Service:
+		return admitted{}, call.ReasonNotReady
+	case g.phase() == fleet.Absent:
+		return admitted{}, call.ReasonNotReady
+	case g.phase() == fleet.Draining:
+		return admitted{}, call.ReasonLeaving
+	}
+	return admitted{admission: g.admission, pool: g.pool, instance: g.upstream.instance}, ""
+}
+
+// decline tells why a selective call had better run elsewhere.
+func (g *Gate) decline(now time.Time, meta hop.Meta) call.Reason {
+	if !meta.Selective {
+		return ""
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.health.slowdownAt(now) >= slowed*max(1, float64(meta.Fastest)):
+		return call.ReasonSlowed
+	case g.health.failing(now) && !g.health.sample():
+		return call.ReasonFailing
+	}
+	return ""
+}
+
+// wait returns why a pass was not granted within the caller's patience.
+func (g *Gate) wait(ctx context.Context, pass *admission.Pass, patience time.Duration) call.Reason {
+	select {
+	case <-pass.Ready():
+	default:
+		if patience <= 0 {
+			return g.abandon(pass, call.ReasonOverload)
+		}
+		select {
+		case <-pass.Ready():
+		case <-g.clock.After(patience):
+			return g.abandon(pass, call.ReasonOverload)
+		case <-ctx.Done():
+			return g.abandon(pass, call.ReasonCancelled)
+		}
+	}
+	if refusal := pass.Refusal(); refusal != nil {
+		return refusal.Reason()
+	}
+	return ""
+}
+
+func (g *Gate) abandon(pass *admission.Pass, reason call.Reason) call.Reason {
+	if pass.Abandon() {
+		pass.End(g.clock.Now(), false)
+	}
+	return reason
+}
+
+// run sends the call to the upstream in the slot of pass.
+func (g *Gate) run(ctx context.Context, a admitted, meta hop.Meta, c *Call, pass *admission.Pass, arrived time.Time) *Answer {
+	started := g.clock.Now()
+	remaining := meta.Remaining - started.Sub(arrived)
+	if !meta.Idempotent {
+		// Its caller may leave, but what may run only once runs to its end.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining+answerMargin)
+	ended := g.track(meta)
+	finish := func(answered bool) {
+		cancel()
+		ended(answered)
+		pass.End(g.clock.Now(), answered)
+		g.noteLoad()
+	}
+	response, err := a.pool.Do(ctx, g.outgoing(a, meta, c, remaining))
+	if err != nil {
+		// finish ends ctx, which tells why there is no answer.
+		answer := g.failed(ctx, a, meta, err)
+		finish(false)
+		return answer
+	}
+	answer := platform.ReadAnswer(response.Status, response.Header)
+	g.reported(a, answer, response.Header)
+	if reason := g.verdict(a, answer, response); reason != "" {
+		response.Finish()
+		finish(false)
+		outcome := call.Unknown
+		if reason == call.ReasonRejected {
+			outcome = call.NotRun
+		}
+		refused := Refusal(outcome, reason)
+		refused.Meta.Ran = true
+		return refused
+	}
+	g.holds.Answered(g.clock.Now(), meta.Fingerprint)
+	g.outcome(response.Status >= http.StatusInternalServerError)
+	return &Answer{
+		Meta: hop.AnswerMeta{Outcome: call.Answered, Ran: true}, Response: response,
+		Finish: func() {
+			response.Finish()
+			finish(response.Body.Whole())
+		},
+	}
+}
+
+func (g *Gate) outgoing(a admitted, meta hop.Meta, c *Call, remaining time.Duration) *http1.Outgoing {
+	header := c.Header.Clone()
+	hop.StripConnection(header)
+	hop.StripOwn(header)
+	header.Del("Content-Length")
+	platform.SetDelivery(header, platform.Delivery{Instance: a.instance, Remaining: remaining, Caller: meta.Caller})
+	out := &http1.Outgoing{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content,
+		Accept: func(response *http1.Response) bool {
+			answer := platform.ReadAnswer(response.Status, response.Header)
+			return answer.ID() == meta.ID || (answer.ID() == "" && answer.NotRun())
+		},
+	}
+	if c.Rest != nil {
+		out.Rest = c.Rest
+	}
+	return out
+}
+
+// verdict tells why an answer is not passed on, if it is not.
+func (g *Gate) verdict(a admitted, answer platform.Answer, response *http1.Response) call.Reason {
+	switch {
+	case answer.NotRun():
+		if response.Status == http.StatusMisdirectedRequest {
+			g.misdirected(a)
+		}
+		return call.ReasonRejected
+	case !answer.Stamped() || answer.Encoded():
+		g.outcome(true)
+		return call.ReasonGarbled
+	}
+	return ""
+}
+
+// failed answers for a call that got no answer.
+func (g *Gate) failed(ctx context.Context, a admitted, meta hop.Meta, err error) *Answer {
+	if http1.KindOf(err) == http1.KindUnreached {
+		g.unreached(a, err)
+		return Refusal(call.NotRun, call.ReasonConnection)
+	}
+	reason := call.ReasonConnection
+	switch context.Cause(ctx) {
+	case nil:
+		g.outcome(true)
+		g.suspect(meta.Fingerprint)
+	case context.DeadlineExceeded:
+		reason = call.ReasonDeadline
+		g.outcome(true)
+	default:
+		reason = call.ReasonCancelled
+	}
+	answer := Refusal(call.Unknown, reason)
+	answer.Meta.Ran = true
+	return answer
+}
--- a/egress/handler.go
+++ b/egress/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-
 	"net/http"
 
 	"github.com/banyancross/banyancross/call"
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -36,7 +36,6 @@
 
 	mu       sync.Mutex
 	services map[string]*budget
-	started  time.Time
 }
 
 func newBudgets(b Budget, view *fleet.View) *budgets {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -66,8 +66,9 @@
 	return append([]sent(nil), g.sent...)
 }
 
-func ran(reason call.Reason) *egress.Answer {
-	answer := egress.Refusal(call.Unknown, reason)
+// ran is the answer to an attempt whose connection broke.
+func ran() *egress.Answer {
+	answer := egress.Refusal(call.Unknown, call.ReasonConnection)
 	answer.Meta.Ran = true
 	return answer
 }
@@ -142,7 +143,7 @@
 
 	It("that may run only once is sent no second time after an attempt without an answer", func() {
 		g, address := start(setup{attempts: 2, hosts: 3, budget: plenty}, func(string, hop.Meta) *egress.Answer {
-			return ran(call.ReasonConnection)
+			return ran()
 		})
 		Expect(get(address, "a").StatusCode).To(Equal(http.StatusBadGateway))
 		Expect(g.attempts()).To(HaveLen(1))
@@ -150,7 +151,7 @@
 
 	It("that is idempotent reaches no more upstreams than its route allows", func() {
 		g, address := start(setup{idempotent: true, attempts: 2, hosts: 5, budget: plenty}, func(string, hop.Meta) *egress.Answer {
-			return ran(call.ReasonConnection)
+			return ran()
 		})
 		Expect(get(address, "a").StatusCode).To(Equal(http.StatusBadGateway))
 		Expect(g.attempts()).To(HaveLen(2))
@@ -163,7 +164,7 @@
 		_, address := start(setup{idempotent: true, attempts: 2, hosts: 2, budget: plenty}, func(string, hop.Meta) *egress.Answer {
 			if first {
 				first = false
-				return ran(call.ReasonConnection)
+				return ran()
 			}
 			return egress.Refusal(call.NotRun, call.ReasonOverload)
 		})
@@ -203,7 +204,7 @@
 				return egress.Refusal(call.NotRun, call.ReasonOverload)
 			}
 			arrivals++
-			return ran(call.ReasonConnection)
+			return ran()
 		})
 		for i := range requests {
 			get(address, fmt.Sprint(i))
--- a/route/error.go
+++ b/route/error.go
@@ -17,8 +17,8 @@
 	message string
 }
 
-func newError(op string, kind Kind, format string, args ...any) *Error {
-	return &Error{op: op, kind: kind, message: fmt.Sprintf(format, args...)}
+func invalid(format string, args ...any) *Error {
+	return &Error{op: "check", kind: KindInvalid, message: fmt.Sprintf(format, args...)}
 }
 
 // Kind returns the class of the error.
--- a/route/table.go
+++ b/route/table.go
@@ -82,25 +82,25 @@
 
 func (t *Table) check(r *Route) error {
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return newError("check", KindInvalid, "route %q: host %q and prefix %q do not name a path", r.Name, r.Host, r.Prefix)
+		return invalid("route %q: host %q and prefix %q do not name a path", r.Name, r.Host, r.Prefix)
 	}
 	if len(r.Parts) == 0 {
-		return newError("check", KindInvalid, "route %q has no service", r.Name)
+		return invalid("route %q has no service", r.Name)
 	}
 	if r.Timeout < 0 || r.Objective < 0 || r.Attempts < 0 {
-		return newError("check", KindInvalid, "route %q has a negative bound", r.Name)
+		return invalid("route %q has a negative bound", r.Name)
 	}
 	for _, other := range t.hosts[strings.ToLower(r.Host)] {
 		if other.Prefix == r.Prefix {
-			return newError("check", KindInvalid, "routes %q and %q have the same host and prefix", other.Name, r.Name)
+			return invalid("routes %q and %q have the same host and prefix", other.Name, r.Name)
 		}
 	}
 	for _, part := range r.Parts {
 		if _, ok := t.definition.Services[part.Service]; !ok {
-			return newError("check", KindInvalid, "route %q: service %q does not exist", r.Name, part.Service)
+			return invalid("route %q: service %q does not exist", r.Name, part.Service)
 		}
 		if part.Weight < 0 || math.IsNaN(part.Weight) {
-			return newError("check", KindInvalid, "route %q: the weight of service %q is negative", r.Name, part.Service)
+			return invalid("route %q: the weight of service %q is negative", r.Name, part.Service)
 		}
 	}
 	return nil
