--- a/http1/body.go
+++ b/http1/body.go
@@ -40,9 +40,6 @@
 	return b
 }
 
-// Empty tells that the message has no body.
-func (b *Body) Empty() bool { return b.length == 0 }
-
 // Whole tells that the body has been read to its end.
 func (b *Body) Whole() bool { return b.whole }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-kit/log"
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/egress"
@@ -66,7 +65,6 @@
 // Ingress is safe for concurrent use.
 type Ingress struct {
 	clock   Clock
-	logger  log.Logger
 	table   func() *route.Table
 	caller  func() string
 	domain  string
@@ -93,9 +91,6 @@
 // WithClock sets the clock.
 func WithClock(clock Clock) Option { return func(in *Ingress) { in.clock = clock } }
 
-// WithLogger sets where log lines go.
-func WithLogger(logger log.Logger) Option { return func(in *Ingress) { in.logger = logger } }
-
 // WithObserver calls observe after each request.
 func WithObserver(observe func(Observation)) Option {
 	return func(in *Ingress) { in.observe = observe }
@@ -131,7 +126,7 @@
 // the host.
 func New(domain string, table func() *route.Table, caller func() string, view *fleet.View, sender Sender, options ...Option) *Ingress {
 	in := &Ingress{
-		clock: systemClock{}, logger: log.NewNopLogger(), table: table, caller: caller, domain: domain,
+		clock: systemClock{}, table: table, caller: caller, domain: domain,
 		view: view, sender: sender, observe: func(Observation) {}, times: map[string]time.Duration{}, sizes: map[string]int64{},
 		holds:  quarantine.NewHolds(),
 		parent: func(string) (egress.Run, bool) { return egress.Run{}, false },
--- a/routing/reporting.go
+++ b/routing/reporting.go
@@ -34,6 +34,9 @@
 	// lostHalfLife how soon half of that is forgotten.
 	lostWeight   = 1.5
 	lostHalfLife = time.Second
+	// maxReported bounds the upstreams that are remembered. When it is reached,
+	// most have left long ago, and those that have not report again soon.
+	maxReported = 4096
 	// jitterWeight spreads the choices of nodes that know the same.
 	jitterWeight = 0.15
 )
@@ -156,16 +159,12 @@
 	u.load, u.at = load, now
 }
 
-// Forget drops an upstream that has left.
-func (p *Reporting) Forget(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.upstreams, name)
-}
-
 func (p *Reporting) upstream(name string) *reported {
 	u := p.upstreams[name]
 	if u == nil {
+		if len(p.upstreams) >= maxReported {
+			p.upstreams = map[string]*reported{}
+		}
 		u = &reported{}
 		p.upstreams[name] = u
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -135,7 +135,7 @@
 		egress.WithLogger(s.logger), egress.WithNotify(s.announce), egress.WithLoadNotify(s.announceLoad), egress.WithHolds(s.holds))
 	s.hops = newHops(s.clock, conf.Host(), s.gate)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.hops,
-		ingress.WithClock(s.clock), ingress.WithLogger(s.logger), ingress.WithCallers(s.gate.Caller), ingress.WithHost(conf.Host()), ingress.WithHolds(s.holds),
+		ingress.WithClock(s.clock), ingress.WithCallers(s.gate.Caller), ingress.WithHost(conf.Host()), ingress.WithHolds(s.holds),
 		ingress.WithObserver(newRequestLog(s).observe),
 		ingress.WithBudget(ingress.Budget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
 	if err := s.listen(conf); err != nil {
