egress: a run ends once

Cause: the handler of a gate finishes a small answer when it has read it, and again when it returns; the entry on the same host does the same. Each such run was timed twice, and counted twice in the comparison of runs in a crowd and with room.

Change: a call is finished once. The bounds on the number of comparisons are halved, so that they mean the runs that they meant before.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/banyancross/banyancross/admission"
@@ -134,11 +135,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining+answerMargin)
 	ended := g.track(meta)
+	// The call may be finished when its answer was read, and again by whoever
+	// drops the answer.
+	var once sync.Once
 	finish := func(answered bool) {
-		cancel()
-		ended(answered)
-		pass.End(g.clock.Now(), answered)
-		g.noteLoad()
+		once.Do(func() {
+			cancel()
+			ended(answered)
+			pass.End(g.clock.Now(), answered)
+			g.noteLoad()
+		})
 	}
 	response, err := a.pool.Do(ctx, g.outgoing(a, meta, c, remaining))
 	if err != nil {
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -215,3 +215,20 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+var _ = Describe("what a gate has learned", func() {
+	It("counts a run once, however often its answer is finished", func() {
+		gate, backend := newGate()
+		ready(gate, backend)
+		m := meta("a")
+		m.Route = "r"
+		header := http.Header{}
+		header.Set("Request-Id", m.ID)
+		answer := gate.Do(context.Background(), m, &egress.Call{Method: http.MethodGet, Target: "/x", Host: "x", Header: header})
+		_, _, err := answer.Response.Body.Buffer(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		answer.Finish()
+		answer.Finish()
+		Expect(gate.TimedRuns("r")).To(Equal(1))
+	})
+})
--- a/egress/export_test.go
+++ b/egress/export_test.go
@@ -15,3 +15,13 @@
 
 // Share is share for tests.
 func (k *Knee) Share() float64 { return k.k.share() }
+
+// TimedRuns returns how many runs of a route were timed.
+func (g *Gate) TimedRuns(route string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.times[route]; m != nil {
+		return int(m.count)
+	}
+	return 0
+}
--- a/egress/knee.go
+++ b/egress/knee.go
@@ -9,8 +9,8 @@
 	roomy   = 0.75
 	// minCompared is how many runs of either kind say something, over all
 	// upstreams of the service, and minPart the same for one route at one.
-	minCompared = 24
-	minPart     = 4
+	minCompared = 12
+	minPart     = 2
 	// maxCompared is how many runs a mean is taken over, so that it follows an
 	// upstream that changes.
 	maxCompared = 200
