egress, sidecar: keep what was found about crowded upstreams

Ruled out: keeping it in the node's entry, which each start overwrites before it reads, since a node must be seen by those that start beside it.

Change: a finding is kept in the store for its service, by the first of its nodes, and recalled at the start; it makes up for comparisons that are missing and vanishes with them. Run times are now compared by their first quartile, over 40 comparisons at least; a host that turns slow in the middle of a run no longer counts as a crowd.

The test of the restart fails without the keeping.

--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -231,4 +231,34 @@
 		answer.Finish()
 		Expect(gate.TimedRuns("r")).To(Equal(1))
 	})
+
+	It("outlives the process when it is recalled, for the same service only", func() {
+		gate, backend := newGate()
+		gate.Recall("stock", egress.Finding{Crowding: 1.6, Compared: 100})
+		ready(gate, backend)
+		Expect(gate.Load().Limit).To(Equal(uint32(1)), "of two slots")
+
+		gate, backend = newGate()
+		gate.Recall("pay", egress.Finding{Crowding: 1.6, Compared: 100})
+		ready(gate, backend)
+		Expect(gate.Load().Limit).To(Equal(uint32(2)))
+	})
+
+	It("is recalled also after the upstream has appeared", func() {
+		gate, backend := newGate()
+		ready(gate, backend)
+		Expect(gate.Load().Limit).To(Equal(uint32(2)))
+		gate.Recall("stock", egress.Finding{Crowding: 1.6, Compared: 100})
+		Expect(gate.Load().Limit).To(Equal(uint32(1)))
+	})
+
+	It("passes to the next upstream of the service", func() {
+		gate, backend := newGate()
+		gate.Recall("stock", egress.Finding{Crowding: 1.6, Compared: 200})
+		ready(gate, backend)
+		gate.Leave("i-1", time.Time{})
+		gate.Heartbeat(heartbeat(backend.Address(), "i-1", "ready", 2000, 1))
+		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		Expect(gate.Load().Limit).To(Equal(uint32(1)))
+	})
 })
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -75,9 +75,11 @@
 	notify  func()
 	// notifyLoad is called when callers should choose differently.
 	notifyLoad func()
-	holds      *quarantine.Holds
-	dial       http1.Dial
-	tomb       tomb.Tomb
+	// notifyFound is called when the gate decides anew how many slots to use.
+	notifyFound func()
+	holds       *quarantine.Holds
+	dial        http1.Dial
+	tomb        tomb.Tomb
 
 	mu        sync.Mutex
 	upstream  upstream
@@ -90,11 +92,13 @@
 	calls     callCounts
 	notified  notified
 	knee      knee
-	times     map[string]*mean
-	callers   map[string]time.Time
-	lost      []loss
-	runLog    runLog
-	probes    uint64
+	// recalled is what was found earlier, by service.
+	recalled map[string]Finding
+	times    map[string]*mean
+	callers  map[string]time.Time
+	lost     []loss
+	runLog   runLog
+	probes   uint64
 }
 
 // Option configures a Gate.
@@ -116,6 +120,10 @@
 // its callers should choose differently.
 func WithLoadNotify(notify func()) Option { return func(g *Gate) { g.notifyLoad = notify } }
 
+// WithFoundNotify calls notify, which must not call the gate, when the gate
+// decides anew how many of the slots to use.
+func WithFoundNotify(notify func()) Option { return func(g *Gate) { g.notifyFound = notify } }
+
 // systemClock is the clock of the operating system.
 type systemClock struct{}
 
@@ -130,7 +138,7 @@
 	g := &Gate{
 		clock: systemClock{}, logger: log.NewNopLogger(), address: address, table: table, notify: func() {},
 		departed: map[departure]struct{}{}, runs: map[string]*Run{},
-		callers: map[string]time.Time{}, times: map[string]*mean{}, notifyLoad: func() {},
+		callers: map[string]time.Time{}, times: map[string]*mean{}, notifyLoad: func() {}, notifyFound: func() {}, recalled: map[string]Finding{},
 		holds: quarantine.NewHolds(), runLog: newRunLog(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
@@ -184,7 +192,7 @@
 	defer g.mu.Unlock()
 	b.Service, b.Upstream, b.Slots = g.upstream.service, g.upstream.instance, g.upstream.slots
 	b.Phase, b.Load, b.Fanout = g.phase(), g.load(g.clock.Now()), g.calls.fanout()
-	b.Crowding, b.Compared = float32(g.knee.ratio), float32(g.knee.weight)
+	b.Crowding, b.Compared = float32(g.knee.own.Crowding), float32(g.knee.own.Compared)
 }
 
 // phase is what other nodes are told; g.mu is held.
--- a/egress/knee.go
+++ b/egress/knee.go
@@ -1,6 +1,9 @@
 package egress
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
 	// crowded and roomy are the shares of the slots in use above and below which
@@ -8,15 +11,14 @@
 	crowded = 0.85
 	roomy   = 0.75
 	// minCompared is how many runs of either kind say something, over all
-	// upstreams of the service, and minPart the same for one route at one.
-	minCompared = 12
+	// upstreams of the service: with the usual spread of run times, a third of
+	// their mean, chance moves the ratio of two such quartiles by a tenth. minPart
+	// is the same for one route at one upstream.
+	minCompared = 40
 	minPart     = 2
-	// maxCompared is how many runs a mean is taken over, so that it follows an
-	// upstream that changes.
-	maxCompared = 200
-	// outlier bounds a run relative to the usual one: a host that turned slow
-	// in the middle of a run says nothing of the slots.
-	outlier = 3
+	// maxCompared is how many runs a quartile is taken over, so that it follows
+	// an upstream that changes.
+	maxCompared = 32
 	// slowsDown is how much longer runs take when nearly all slots are in use,
 	// from which fewer slots do more: it is the inverse of kneeShare.
 	slowsDown = 1 / kneeShare
@@ -27,15 +29,42 @@
 	recovered = 1.1
 )
 
-// mean is a mean that forgets.
-type mean struct {
-	value float64
-	count float64
+// quartile is the first quartile of the latest samples. Unlike a mean it hardly
+// moves when the host turned slow in the middle of some of the runs.
+type quartile struct {
+	recent [maxCompared]float64
+	count  int
+}
+
+func (q *quartile) add(sample float64) {
+	q.recent[q.count%maxCompared] = sample
+	q.count++
+}
+
+// size returns how many samples the quartile is taken over.
+func (q *quartile) size() int { return min(q.count, maxCompared) }
+
+func (q *quartile) value() float64 {
+	samples := q.recent
+	sort.Float64s(samples[:q.size()])
+	return samples[q.size()/4]
 }
 
-func (m *mean) add(sample float64) {
-	m.count = min(m.count+1, maxCompared)
-	m.value += (sample - m.value) / m.count
+// Finding is what comparisons of runs show about upstreams of a service.
+type Finding struct {
+	// Crowding is how much longer runs take when nearly all slots are in use.
+	Crowding float64
+	// Compared is how many comparisons show that.
+	Compared float64
+}
+
+// With returns two findings taken together.
+func (f Finding) With(other Finding) Finding {
+	all := f.Compared + other.Compared
+	if all == 0 {
+		return Finding{}
+	}
+	return Finding{Crowding: (f.Crowding*f.Compared + other.Crowding*other.Compared) / all, Compared: all}
 }
 
 // knee compares how long runs take when many of the slots are in use and when
@@ -43,15 +72,14 @@
 type knee struct {
 	routes map[string]*occupancy
 	found  bool
-	// ratio is how much longer runs take in a crowd, over weight comparisons.
-	ratio, weight float64
-	// othersRatio and othersWeight are the same for the service's other upstreams.
-	othersRatio, othersWeight float64
+	// own is what this upstream's runs show, others what the service's other
+	// upstreams found, and past what was found before that.
+	own, others, past Finding
 }
 
 // occupancy holds the run times of a route.
 type occupancy struct {
-	crowded, roomy mean
+	crowded, roomy quartile
 }
 
 // observe takes a run that called no other upstream, on a host at its usual
@@ -68,34 +96,46 @@
 		o = &occupancy{}
 		k.routes[route] = o
 	}
-	sample := took.Seconds()
-	if o.roomy.count > minPart {
-		sample = min(sample, outlier*o.roomy.value)
-	}
 	if share >= crowded {
-		o.crowded.add(sample)
+		o.crowded.add(took.Seconds())
 	} else {
-		o.roomy.add(sample)
+		o.roomy.add(took.Seconds())
 	}
+	k.compare()
 }
 
-// share returns the part of the slots that calls should use.
-func (k *knee) share() float64 {
+// compare takes the routes together.
+func (k *knee) compare() {
 	weight, sum := 0.0, 0.0
 	for _, o := range k.routes {
-		compared := min(o.crowded.count, o.roomy.count)
-		if compared < minPart || o.roomy.value <= 0 {
+		compared := float64(min(o.crowded.size(), o.roomy.size()))
+		if compared < minPart || o.roomy.value() <= 0 {
 			continue
 		}
 		weight += compared
-		sum += compared * o.crowded.value / o.roomy.value
+		sum += compared * o.crowded.value() / o.roomy.value()
 	}
 	if weight > 0 {
-		k.ratio, k.weight = sum/weight, weight
+		k.own = Finding{Crowding: sum / weight, Compared: weight}
 	}
-	if all := k.weight + k.othersWeight; all >= minCompared {
-		ratio := (k.ratio*k.weight + k.othersRatio*k.othersWeight) / all
-		k.found = ratio > slowsDown || (k.found && ratio > recovered)
+}
+
+// all returns what is known of the upstreams of the service. What was found
+// earlier makes up for the comparisons that are still missing.
+func (k *knee) all() Finding {
+	fresh := k.own.With(k.others)
+	past := k.past
+	past.Compared = min(past.Compared, max(0, minCompared-fresh.Compared))
+	return fresh.With(past)
+}
+
+// successor returns the knee of the next upstream of the same service.
+func (k *knee) successor() knee { return knee{past: k.all(), found: k.found} }
+
+// share returns the part of the slots that calls should use.
+func (k *knee) share() float64 {
+	if all := k.all(); all.Compared >= minCompared {
+		k.found = all.Crowding > slowsDown || (k.found && all.Crowding > recovered)
 	}
 	if k.found {
 		return kneeShare
--- a/egress/knee_test.go
+++ b/egress/knee_test.go
@@ -48,6 +48,28 @@
 		Expect(k.Share()).To(Equal(1.0))
 	})
 
+	It("is not deceived by a host that turned slow in the middle of some runs in a crowd", func() {
+		var k egress.Knee
+		rng := rand.New(rand.NewPCG(3, 4))
+		for range 200 {
+			usual := 0.7 + 0.6*rng.Float64()
+			k.Observe("r", time.Duration(0.1*usual*float64(time.Second)), 0.4)
+			if rng.IntN(4) == 0 {
+				usual *= 5
+			}
+			k.Observe("r", time.Duration(0.1*usual*float64(time.Second)), 0.95)
+			Expect(k.Share()).To(Equal(1.0))
+		}
+	})
+
+	It("follows what is found now rather than what was found earlier", func() {
+		var k egress.Knee
+		k.Past(1.7, 500)
+		Expect(k.Share()).To(BeNumerically("<", 1))
+		runs(&k, 1)
+		Expect(k.Share()).To(Equal(1.0))
+	})
+
 	It("follows what other upstreams of the service found", func() {
 		var k egress.Knee
 		k.Others(1.7, 100)
--- a/egress/run.go
+++ b/egress/run.go
@@ -83,25 +83,54 @@
 	}
 }
 
-// Compare takes what the other upstreams of the service have found about how
-// much longer runs take in a crowd, over how many comparisons.
-func (g *Gate) Compare(ratio, weight float64) {
+// Compare takes what was found beside the other upstreams of the service.
+func (g *Gate) Compare(others Finding) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.knee.othersRatio, g.knee.othersWeight = ratio, weight
+	g.knee.others = others
 	if g.admission != nil {
 		g.decideKnee()
 	}
 }
 
+// Recall takes what was found earlier about the upstreams of a service.
+func (g *Gate) Recall(service string, f Finding) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.recalled[service] = f
+	if g.admission != nil && g.upstream.service == service && g.knee.past.Compared == 0 {
+		g.knee.past = f
+		g.decideKnee()
+	}
+}
+
+// Found returns the service of the upstream and what is known of its upstreams
+// from here and from the beacons of others.
+func (g *Gate) Found() (string, Finding) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.upstream.service, g.knee.all()
+}
+
+// inherited returns what is known of an upstream that has just appeared; g.mu is
+// held.
+func (g *Gate) inherited(service string) knee {
+	if service == g.upstream.service {
+		return g.knee.successor()
+	}
+	return knee{past: g.recalled[service]}
+}
+
 // decideKnee sets how many of the slots are used; g.mu is held.
 func (g *Gate) decideKnee() {
 	found := g.knee.found
 	g.admission.SetKnee(g.knee.share())
 	if g.knee.found != found {
 		_ = level.Info(g.logger).Log("event", "knee", "upstream", g.upstream.instance, "slows-down-when-full", g.knee.found,
-			"ratio", g.knee.ratio, "compared", g.knee.weight,
-			"others-ratio", g.knee.othersRatio, "others-compared", g.knee.othersWeight)
+			"ratio", g.knee.own.Crowding, "compared", g.knee.own.Compared,
+			"others-ratio", g.knee.others.Crowding, "others-compared", g.knee.others.Compared,
+			"earlier-ratio", g.knee.past.Crowding, "earlier-compared", g.knee.past.Compared)
+		g.notifyFound()
 	}
 }
 
@@ -115,6 +144,20 @@
 	m.add(took.Seconds())
 }
 
+// meanWindow is how many runs the usual time of a route is a mean over.
+const meanWindow = 200
+
+// mean is a mean that forgets.
+type mean struct {
+	value float64
+	count float64
+}
+
+func (m *mean) add(sample float64) {
+	m.count = min(m.count+1, meanWindow)
+	m.value += (sample - m.value) / m.count
+}
+
 // expected returns how long a run of a route usually takes, 0 when that is not
 // known.
 func (g *Gate) expected(route string) time.Duration {
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -115,6 +115,7 @@
 	if g.pool != nil {
 		g.pool.Close()
 	}
+	g.knee = g.inherited(h.Service())
 	g.upstream = upstream{
 		instance: h.Instance(), service: h.Service(), slots: h.Slots(), started: h.Started(), sequence: h.Sequence(), beats: 1,
 		beatAt: now,
@@ -123,7 +124,8 @@
 	// calls as a warm one.
 	g.admission = admission.NewGate(h.Slots(), admission.WithKnee(1))
 	g.pool = http1.NewPool(g.address, g.dial, g.clock, idleConnections)
-	g.health, g.knee = health{}, knee{}
+	g.health = health{}
+	g.decideKnee()
 }
 
 // depart records that an incarnation leaves; g.mu is held.
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
 )
 
@@ -43,6 +44,14 @@
 	}
 }
 
+// announceFound has what the gate found kept soon.
+func (s *Sidecar) announceFound() {
+	select {
+	case s.found <- struct{}{}:
+	default:
+	}
+}
+
 // beacon describes this node.
 func (s *Sidecar) beacon() fleet.Beacon {
 	conf := s.settings.Load()
@@ -169,18 +178,14 @@
 
 // compare tells the gate what the other upstreams of its service found.
 func (s *Sidecar) compare(b fleet.Beacon, peers []fleet.Peer) {
-	ratio, weight := 0.0, 0.0
+	var others egress.Finding
 	for _, peer := range peers {
 		other := peer.Beacon()
 		if other.Host != b.Host && other.Service == b.Service {
-			ratio += float64(other.Crowding) * float64(other.Compared)
-			weight += float64(other.Compared)
+			others = others.With(egress.Finding{Crowding: float64(other.Crowding), Compared: float64(other.Compared)})
 		}
 	}
-	if weight > 0 {
-		ratio /= weight
-	}
-	s.gate.Compare(ratio, weight)
+	s.gate.Compare(others)
 }
 
 func (s *Sidecar) sendTo(address string, data []byte) {
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/ingress"
 )
@@ -15,3 +16,9 @@
 	fingerprint := ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)})
 	return s.holds.Held(s.clock.Now(), fingerprint)
 }
+
+// Find makes the gate find something about the upstreams of a service.
+func (s *Sidecar) Find(service string, f egress.Finding) { s.gate.Recall(service, f) }
+
+// Limit returns how many calls the gate lets run.
+func (s *Sidecar) Limit() int { return int(s.gate.Load().Limit) }
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -1,24 +1,39 @@
 package sidecar
 
 import (
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/banyancross/banyancross/codec"
+	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/platform"
 )
 
 const (
-	// nodesPrefix begins the keys of the nodes' entries in the store.
-	nodesPrefix = "banyancross/nodes/"
+	// entriesPrefix begins the keys of the fleet in the store: nodesPrefix those
+	// of the nodes, findingsPrefix those of what was found about the upstreams
+	// of a service.
+	entriesPrefix  = "banyancross/"
+	nodesPrefix    = entriesPrefix + "nodes/"
+	findingsPrefix = entriesPrefix + "findings/"
 	// leaseDuration is how long the entry of a node outlives it, and
 	// leaseRenewal how often it is renewed.
 	leaseDuration = 30 * time.Second
 	leaseRenewal  = 9 * time.Second
+	// findingPause is how long a new finding waits to be kept. The nodes of a
+	// service decide at nearly the same time, and comparisons go on.
+	findingPause = time.Second
 )
 
+// finding is the entry of what was found about the upstreams of a service.
+type finding struct {
+	Crowding float64 `cbor:"1,keyasint"`
+	Compared float64 `cbor:"2,keyasint"`
+}
+
 // register keeps this node's entry in the store and reads those of the others.
 func (s *Sidecar) register() error {
 	lease := uint64(0)
@@ -74,15 +89,19 @@
 	return nil
 }
 
-// lookUp reads the entries of the other nodes. Only the first reading must be
-// up to date: whoever starts later finds this node's entry.
+// lookUp reads the entries of the fleet. Only the first reading must be up to
+// date: whoever starts later finds this node's entry.
 func (s *Sidecar) lookUp() error {
-	entries, _, err := s.store.List(s.context(), nodesPrefix, s.viewed.Load())
+	entries, _, err := s.store.List(s.context(), entriesPrefix, s.viewed.Load())
 	if err != nil {
 		return err
 	}
 	now := s.clock.Now()
 	for _, entry := range entries {
+		if service, ok := strings.CutPrefix(entry.Key(), findingsPrefix); ok {
+			s.recall(service, entry)
+			continue
+		}
 		b, err := fleet.Decode(entry.Value())
 		if err != nil {
 			_ = level.Warn(s.logger).Log("event", "entry-skipped", "key", entry.Key(), "err", err)
@@ -93,8 +112,58 @@
 		}
 	}
 	if !s.viewed.Swap(true) {
-		_ = level.Info(s.logger).Log("event", "fleet-read", "nodes", len(entries))
+		_ = level.Info(s.logger).Log("event", "fleet-read", "entries", len(entries))
 	}
 	s.announce()
 	return nil
 }
+
+// recall hands the gate what was found about the upstreams of a service.
+func (s *Sidecar) recall(service string, entry platform.Entry) {
+	var f finding
+	if err := codec.Unmarshal(entry.Value(), &f); err != nil {
+		_ = level.Warn(s.logger).Log("event", "entry-skipped", "key", entry.Key(), "err", err)
+		return
+	}
+	s.gate.Recall(service, egress.Finding{Crowding: f.Crowding, Compared: f.Compared})
+}
+
+// keepFindings writes to the store what the nodes of the service have found, so
+// that it outlives all of them. One of them does.
+func (s *Sidecar) keepFindings() error {
+	for {
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case <-s.found:
+		}
+		if !s.sleep(findingPause) {
+			return nil
+		}
+		service, found := s.gate.Found()
+		if service == "" || found.Compared == 0 || !s.speaksFor(service) {
+			continue
+		}
+		value, err := codec.Marshal(finding{Crowding: found.Crowding, Compared: found.Compared})
+		if err == nil {
+			err = s.store.Set(s.context(), findingsPrefix+service, value)
+		}
+		if err != nil {
+			// What is lost is found again.
+			_ = level.Warn(s.logger).Log("event", "finding-lost", "service", service, "err", err)
+			continue
+		}
+		_ = level.Info(s.logger).Log("event", "finding-kept", "service", service, "crowding", found.Crowding, "compared", found.Compared)
+	}
+}
+
+// speaksFor tells whether this node is the first of those that serve a service.
+func (s *Sidecar) speaksFor(service string) bool {
+	self := s.settings.Load().Host()
+	for _, peer := range s.view.Serving(service) {
+		if peer.Beacon().Host < self {
+			return false
+		}
+	}
+	return true
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -33,6 +33,7 @@
 type Store interface {
 	List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error)
 	WatchFor(ctx context.Context, key string, last platform.Entry, wait time.Duration) (platform.Entry, error)
+	Set(ctx context.Context, key string, value []byte) error
 	PutLeased(ctx context.Context, key string, value []byte, lease uint64) error
 	Grant(ctx context.Context, duration time.Duration) (uint64, error)
 	Keep(ctx context.Context, lease uint64) error
@@ -69,6 +70,7 @@
 	socket  *net.UDPConn
 	changed chan struct{}
 	loaded  chan struct{}
+	found   chan struct{}
 	fetches chan fleet.Peer
 	tomb    tomb.Tomb
 	// turn counts the beacons to nodes that send no calls here.
@@ -119,8 +121,9 @@
 	s := &Sidecar{
 		clock: systemClock{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
 		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, view: fleet.NewView(), holds: quarantine.NewHolds(),
-		changed: make(chan struct{}, 1), loaded: make(chan struct{}, 1), fetches: make(chan fleet.Peer, 1),
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		changed: make(chan struct{}, 1), loaded: make(chan struct{}, 1), found: make(chan struct{}, 1),
+		fetches: make(chan fleet.Peer, 1),
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
 		option(s)
@@ -132,7 +135,8 @@
 	s.incarnation = s.clock.Now().UnixNano()
 	s.logger = log.With(s.logger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.Backend(), s.table.Load, egress.WithClock(s.clock),
-		egress.WithLogger(s.logger), egress.WithNotify(s.announce), egress.WithLoadNotify(s.announceLoad), egress.WithHolds(s.holds))
+		egress.WithLogger(s.logger), egress.WithNotify(s.announce), egress.WithLoadNotify(s.announceLoad),
+		egress.WithFoundNotify(s.announceFound), egress.WithHolds(s.holds))
 	s.hops = newHops(s.clock, conf.Host(), s.gate)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.hops,
 		ingress.WithClock(s.clock), ingress.WithCallers(s.gate.Caller), ingress.WithHost(conf.Host()), ingress.WithHolds(s.holds),
@@ -241,6 +245,7 @@
 func (s *Sidecar) start() {
 	s.tomb.Go(s.watchConfiguration)
 	s.tomb.Go(s.register)
+	s.tomb.Go(s.keepFindings)
 	s.tomb.Go(s.sendBeacons)
 	s.tomb.Go(s.receiveBeacons)
 	s.tomb.Go(s.fetchConfigurations)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/settings"
 	"github.com/banyancross/banyancross/sidecar"
@@ -415,6 +416,31 @@
 		Expect(w.runs("last")).To(BeEmpty())
 	})
 
+	It("remembers how its service behaves in a crowd after all nodes were killed", func() {
+		w := newWorld()
+		w.publish(1)
+		a := w.add()
+		a.beat("ready")
+		Eventually(a.sidecar.Limit).Should(Equal(10))
+		a.sidecar.Find("stock", egress.Finding{Crowding: 1.6, Compared: 100})
+		Eventually(a.sidecar.Limit).Should(Equal(8))
+		Eventually(func() []byte { return w.store.Value("banyancross/findings/stock") }).ShouldNot(BeEmpty())
+		a.sidecar.Kill()
+		a.start()
+		a.beat("ready")
+		Eventually(a.sidecar.Limit).Should(Equal(8))
+	})
+
+	It("does without a finding that it cannot read", func() {
+		w := newWorld()
+		w.store.Store("banyancross/findings/stock", []byte("noise"))
+		w.publish(1)
+		a := w.add()
+		a.beat("ready")
+		w.reaches(a, "i-stock-1")
+		Expect(a.sidecar.Limit()).To(Equal(10))
+	})
+
 	It("gets a newer configuration from another node when it has lost the store", func() {
 		w := newWorld()
 		w.publish(1)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -133,6 +133,13 @@
 	p.wake()
 }
 
+// Value returns what a key holds, nil when there is none.
+func (p *Platform) Value(key string) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[key].data
+}
+
 // Calls returns how many reads, writes and watches were made.
 func (p *Platform) Calls() (reads, writes, watches uint64) {
 	return p.reads.Load(), p.writes.Load(), p.watches.Load()
