--- a/cmd/banyancross/explain.go
+++ b/cmd/banyancross/explain.go
@@ -7,6 +7,8 @@
 	"os"
 	"sort"
 	"strings"
+
+	"github.com/banyancross/banyancross/telemetry"
 )
 
 // explainCommand collects what several nodes logged about one request.
@@ -77,6 +79,12 @@
 	if id != command.Request && !strings.HasPrefix(id, command.Request+".") {
 		return logLine{}, false
 	}
+	var trail struct {
+		Steps telemetry.Trail `json:"trail"`
+	}
+	if json.Unmarshal([]byte(text[at:]), &trail) == nil && len(trail.Steps) > 0 {
+		fields["trail"] = trail.Steps
+	}
 	line := logLine{time: fmt.Sprint(fields["time"]), host: fmt.Sprint(fields["host"])}
 	for _, name := range []string{"time", "host", "level", "omitted"} {
 		delete(fields, name)
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -45,8 +45,12 @@
 	if refusal != nil {
 		return Refusal(call.NotRun, refusal.Reason())
 	}
-	if reason := g.wait(ctx, pass, meta.Patience); reason != "" {
-		return Refusal(call.NotRun, reason)
+	reason := g.wait(ctx, pass, meta.Patience)
+	waited := g.clock.Now().Sub(now)
+	if reason != "" {
+		answer := Refusal(call.NotRun, reason)
+		answer.Meta.Waited = waited
+		return answer
 	}
 	// The upstream may have begun to leave while the call waited.
 	if _, refused := g.begin(meta); refused != "" {
@@ -54,6 +58,7 @@
 		return Refusal(call.NotRun, refused)
 	}
 	answer := g.run(ctx, a, meta, c, pass, now)
+	answer.Meta.Waited = waited
 	g.ended(meta, answer, g.clock.Now().Sub(now))
 	return answer
 }
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -77,6 +77,9 @@
 	Replayed bool         `cbor:"7,keyasint,omitempty"`
 	// Gate tells that a gate gave the answer, not the hop on the way to it.
 	Gate bool `cbor:"8,keyasint,omitempty"`
+	// Waited is how long the call waited at the gate before it ran or was
+	// refused.
+	Waited time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Encode returns the header value that carries the metadata.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -59,7 +59,9 @@
 	Hedge    bool
 	At       time.Duration
 	Took     time.Duration
-	Load     call.Load
+	// Waited is the part of Took that the call waited at the gate.
+	Waited time.Duration
+	Load   call.Load
 }
 
 // Ingress is safe for concurrent use.
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -84,7 +84,6 @@
 	charged bool
 	// repeated tells that another attempt may have run.
 	repeated bool
-	done     bool
 }
 
 // exchange sends the request until it is answered or must not be sent again. It
@@ -156,7 +155,6 @@
 // retire takes an attempt off the list of those that run.
 func (s *session) retire(r *result) {
 	now := s.in.clock.Now()
-	r.attempt.done = true
 	for i, a := range s.live {
 		if a == r.attempt {
 			s.live = append(s.live[:i], s.live[i+1:]...)
@@ -167,6 +165,7 @@
 	step := Step{
 		Host: r.attempt.peer.Beacon().Host, Upstream: r.attempt.peer.Beacon().Upstream, Outcome: meta.Outcome,
 		Reason: meta.Reason, Hedge: r.attempt.hedge, At: r.attempt.started.Sub(s.received), Took: now.Sub(r.attempt.started),
+		Waited: meta.Waited,
 	}
 	if meta.Load != nil {
 		step.Load = *meta.Load
--- /dev/null
+++ b/losses/error.go
@@ -0,0 +1,30 @@
+package losses
+
+import "fmt"
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of Error.
+const (
+	// KindFile means that a file could not be read.
+	KindFile Kind = "file"
+	// KindMalformed means that a report is not as expected.
+	KindMalformed Kind = "malformed"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	op   string
+	kind Kind
+	err  error
+}
+
+// Kind returns the class of the error.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("losses %s: %s: %v", e.op, e.kind, e.err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -1,15 +1,12 @@
 package sidecar
 
 import (
-	"fmt"
-	"strings"
-	"time"
-
 	"github.com/go-kit/log/level"
 	"golang.org/x/time/rate"
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/ingress"
+	"github.com/banyancross/banyancross/telemetry"
 )
 
 const (
@@ -64,24 +61,6 @@
 	}
 	_ = level.Info(s.logger).Log("event", "request", "class", class, "request", o.ID, "route", o.Route,
 		"service", o.Service, "revision", o.Revision, "status", o.Status, "outcome", o.Outcome, "reason", o.Reason,
-		"elapsed-ms", milliseconds(o.Elapsed), "arrivals", o.Attempts, "picks", o.Picks, "trail", describe(o.Trail),
-		"omitted", omitted)
+		"elapsed-ms", o.Elapsed.Milliseconds(), "arrivals", o.Attempts, "picks", o.Picks,
+		"trail", telemetry.NewTrail(o.Trail), "omitted", omitted)
 }
-
-// describe writes the attempts of a request: when, where to, and how each ended
-// with the load reported.
-func describe(trail []ingress.Step) string {
-	steps := make([]string, 0, len(trail))
-	for _, step := range trail {
-		kind := ""
-		if step.Hedge {
-			kind = " hedge"
-		}
-		steps = append(steps, fmt.Sprintf("+%dms %s/%s%s %s %s after %dms, %d of %d running, %d waiting, slowdown %.1f",
-			milliseconds(step.At), step.Host, step.Upstream, kind, step.Outcome, step.Reason, milliseconds(step.Took),
-			step.Load.Running, step.Load.Limit, step.Load.Waiting, step.Load.Slowdown))
-	}
-	return strings.Join(steps, "; ")
-}
-
-func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
--- /dev/null
+++ b/telemetry/trail.go
@@ -0,0 +1,70 @@
+package telemetry
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/ingress"
+)
+
+// Trail is the attempts of a request, as a line of the log holds them.
+type Trail []Step
+
+// Step is one attempt. Times are in milliseconds, At since the request came;
+// Running, Limit, Waiting and Slowdown are what the gate reported as it answered.
+type Step struct {
+	At       int64   `json:"at-ms"`
+	Host     string  `json:"host"`
+	Upstream string  `json:"upstream"`
+	Hedge    bool    `json:"hedge,omitempty"`
+	Outcome  string  `json:"outcome"`
+	Reason   string  `json:"reason,omitempty"`
+	Took     int64   `json:"took-ms"`
+	Waited   int64   `json:"waited-ms,omitempty"`
+	Running  uint32  `json:"running"`
+	Limit    uint32  `json:"limit"`
+	Waiting  uint32  `json:"waiting,omitempty"`
+	Slowdown float32 `json:"slowdown,omitempty"`
+}
+
+// NewTrail returns the Trail of the attempts of a request.
+func NewTrail(steps []ingress.Step) Trail {
+	trail := make(Trail, 0, len(steps))
+	for _, s := range steps {
+		trail = append(trail, Step{
+			At: s.At.Milliseconds(), Host: s.Host, Upstream: s.Upstream, Hedge: s.Hedge,
+			Outcome: s.Outcome.String(), Reason: string(s.Reason), Took: s.Took.Milliseconds(), Waited: s.Waited.Milliseconds(),
+			Running: s.Load.Running, Limit: s.Load.Limit, Waiting: s.Load.Waiting, Slowdown: s.Load.Slowdown,
+		})
+	}
+	return trail
+}
+
+// Answered tells whether the upstream answered the attempt.
+func (s Step) Answered() bool { return s.Outcome == call.Answered.String() }
+
+// NotRun tells whether no upstream ran the attempt.
+func (s Step) NotRun() bool { return s.Outcome == call.NotRun.String() }
+
+// String describes the attempt for a reader.
+func (s Step) String() string {
+	kind, reason := "", ""
+	if s.Hedge {
+		kind = " hedge"
+	}
+	if s.Reason != "" {
+		reason = " " + s.Reason
+	}
+	return fmt.Sprintf("+%dms %s/%s%s %s%s after %dms, %dms of them waiting, %d of %d running, %d waiting, slowdown %.1f",
+		s.At, s.Host, s.Upstream, kind, s.Outcome, reason, s.Took, s.Waited, s.Running, s.Limit, s.Waiting, s.Slowdown)
+}
+
+// String describes the attempts for a reader.
+func (t Trail) String() string {
+	steps := make([]string, 0, len(t))
+	for _, s := range t {
+		steps = append(steps, s.String())
+	}
+	return strings.Join(steps, "; ")
+}
