ingress: long answers stay in the failure domain while it has room

Change: if answers of a route are usually long, upstreams of the own domain with free slots come first, and are not asked to decline. The launch of an attempt reads the serving nodes once.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/hop"
@@ -117,18 +118,12 @@
 	return func(in *Ingress) { in.rng = rand.New(rand.NewPCG(seed, seed)) }
 }
 
-// systemClock is the clock of the operating system.
-type systemClock struct{}
-
-func (systemClock) Now() time.Time                         { return time.Now() }
-func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 // New returns an Ingress for the callers in a failure domain. table returns the
 // configuration in force, nil before the first; caller returns the service of
 // the host.
 func New(domain string, table func() *route.Table, caller func() string, view *fleet.View, sender Sender, options ...Option) *Ingress {
 	in := &Ingress{
-		clock: systemClock{}, table: table, caller: caller, domain: domain,
+		clock: clock.System{}, table: table, caller: caller, domain: domain,
 		view: view, sender: sender, observe: func(Observation) {}, times: map[string]time.Duration{}, sizes: map[string]int64{},
 		holds:  quarantine.NewHolds(),
 		parent: func(string) (egress.Run, bool) { return egress.Run{}, false },
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -79,6 +79,11 @@
 	timeout    time.Duration
 	hosts      int
 	budget     ingress.Budget
+	// answerBytes is how long answers usually are.
+	answerBytes int64
+	// loads are those of the hosts; the first host is in the failure domain of
+	// the ingress when there are any.
+	loads []call.Load
 }
 
 // start returns the address of an ingress whose gates answer by do.
@@ -93,16 +98,31 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	view := fleet.NewView()
+	var beacons []fleet.Beacon
 	for i := range s.hosts {
 		name := fmt.Sprintf("h%d", i)
-		view.Learn(time.Now(), fleet.Beacon{
+		b := fleet.Beacon{
 			Host: name, Incarnation: 1, Sequence: 1, Calls: name, Datagrams: name,
 			Service: "stock", Upstream: "u", Phase: fleet.Ready, Slots: 10,
-		})
+		}
+		if len(s.loads) > 0 {
+			b.Load = s.loads[i]
+			if i == 0 {
+				b.FailureDomain = "z1"
+			}
+		}
+		beacons = append(beacons, b)
+		view.Learn(time.Now(), b)
 	}
 	g := &gates{do: do}
 	in := ingress.New("z1", func() *route.Table { return table }, func() string { return "stock" }, view, g,
 		ingress.WithBudget(s.budget), ingress.WithSeed(1))
+	in.SetSize("r", s.answerBytes)
+	for _, b := range beacons {
+		if len(s.loads) > 0 {
+			in.Report(b)
+		}
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := http1.NewServer(listener, in, func() http1.Limits { return http1.Limits{} })
@@ -212,4 +232,19 @@
 		// The node has its part of the slack that all nodes share.
 		Expect(float64(arrivals)).To(BeNumerically("<=", requests+budget.Ratio*requests+budget.Slack/hosts))
 	})
+
+	DescribeTable("goes to its own failure domain if its answer is long and there is room",
+		func(bytes int64, running uint32, near bool) {
+			loads := []call.Load{{Running: running, Limit: 10, Slowdown: 5}, {Limit: 10}, {Limit: 10}}
+			g, address := start(setup{attempts: 2, hosts: 3, budget: plenty, answerBytes: bytes, loads: loads},
+				func(string, hop.Meta) *egress.Answer { return egress.Refusal(call.NotRun, call.ReasonOverload) })
+			get(address, "a")
+			first := g.attempts()[0]
+			Expect(first.host == "h0").To(Equal(near))
+			Expect(first.meta.Selective).To(Equal(!near), "a slow host is good enough")
+		},
+		Entry("short", int64(400), uint32(0), false),
+		Entry("long", int64(90_000), uint32(0), true),
+		Entry("long, and the domain is full", int64(90_000), uint32(10), false),
+	)
 })
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -36,6 +36,10 @@
 	hedgeReserve = 0.5
 	// defaultObjective stands for the objective of a route without one.
 	defaultObjective = 500 * time.Millisecond
+	// longAnswer is the length from which an answer stays within the failure
+	// domain, in bytes. Links charge about what a call is worth for 90 KiB
+	// between domains, and a third of that is more than a slow host costs it.
+	longAnswer = 32 << 10
 	// minAttempt is the least time that is worth another attempt.
 	minAttempt = 10 * time.Millisecond
 )
@@ -213,10 +217,15 @@
 	if s.picks >= maxPicks || s.patient >= maxPatient || s.arrivals >= max(s.route.Attempts, 1) {
 		return false
 	}
-	peers := s.candidates(hedge)
+	serving := s.in.view.Serving(s.service)
+	peers := s.candidates(serving, hedge)
 	if len(peers) == 0 || (hedge && peers[0].Beacon().Fanout > leafFanout) {
 		return false
 	}
+	near := s.near(peers)
+	if len(near) > 0 {
+		peers = near
+	}
 	now := s.in.clock.Now()
 	charged := s.arrivals > 0
 	if charged {
@@ -235,16 +244,18 @@
 	peer := s.choose(now, peers)
 	name := peer.Beacon().Host
 	// With no better upstream left, a request had better wait than be refused.
-	selective := hedge || (s.picks < maxSelective && len(peers) > 1 && !s.in.policy.Busy(now, policyName(peer.Beacon())))
+	selective := hedge || (len(near) == 0 && s.picks < maxSelective && len(peers) > 1 && !s.in.policy.Busy(now, policyName(peer.Beacon())))
 	if !selective {
 		s.patient++
 	}
 	s.picks++
 	s.arrivals++
 	s.tried[name] = true
-	a := &attempt{peer: peer, started: now, hedge: hedge, selective: selective, charged: charged, repeated: s.mayHaveRun(), fastest: fastest(s.in.view.Serving(s.service))}
 	attemptCtx, cancel := context.WithCancel(ctx)
-	a.cancel = cancel
+	a := &attempt{
+		peer: peer, cancel: cancel, started: now, hedge: hedge, selective: selective, charged: charged,
+		repeated: s.mayHaveRun(), fastest: fastest(serving),
+	}
 	s.live = append(s.live, a)
 	s.in.policy.Started(now, policyName(peer.Beacon()))
 	meta, outgoing := s.meta(now, a), s.outgoing()
@@ -252,13 +263,28 @@
 	return true
 }
 
+// near returns the upstreams with free slots in the own failure domain if the
+// answer is long. There it costs least, also while the host is slow.
+func (s *session) near(peers []fleet.Peer) []fleet.Peer {
+	if s.in.size(s.route.Name) < longAnswer {
+		return nil
+	}
+	var near []fleet.Peer
+	for _, peer := range peers {
+		b := peer.Beacon()
+		if b.FailureDomain == s.in.domain && !peer.Silent() && !b.Load.Failing && b.Load.Running < b.Load.Limit {
+			near = append(near, peer)
+		}
+	}
+	return near
+}
+
 // mayHaveRun tells whether an attempt has run, or runs now.
 func (s *session) mayHaveRun() bool { return s.uncertain || s.failure != nil || len(s.live) > 0 }
 
 // candidates returns the upstreams to choose from. Those that have refused may
 // be asked once more when no other is left, since what they refused for passes.
-func (s *session) candidates(hedge bool) []fleet.Peer {
-	all := s.in.view.Serving(s.service)
+func (s *session) candidates(all []fleet.Peer, hedge bool) []fleet.Peer {
 	fresh := make([]fleet.Peer, 0, len(all))
 	for _, peer := range all {
 		if !s.tried[peer.Beacon().Host] {
