clock, hop, platform, telemetry: one copy of what was written twice; calls to the store in metrics

The clock of the operating system and the headers' stripping have one place each; an upstream is lost in one way. Calls to the platform's store are counted by operation and outcome, with their times. The stand-in's heartbeats use a new connection each: one over a connection of a killed process failed a test once in two runs.

--- a/cmd/banyancross/explain.go
+++ b/cmd/banyancross/explain.go
@@ -83,7 +83,7 @@
 		Steps telemetry.Trail `json:"trail"`
 	}
 	if json.Unmarshal([]byte(text[at:]), &trail) == nil && len(trail.Steps) > 0 {
-		fields["trail"] = trail.Steps
+		fields["trail"] = trail.Steps.Text()
 	}
 	line := logLine{time: fmt.Sprint(fields["time"]), host: fmt.Sprint(fields["host"])}
 	for _, name := range []string{"time", "host", "level", "omitted"} {
--- a/cmd/banyancross/sidecar.go
+++ b/cmd/banyancross/sidecar.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/settings"
 	"github.com/banyancross/banyancross/sidecar"
 	"github.com/banyancross/banyancross/telemetry"
@@ -38,6 +39,7 @@
 	metrics := telemetry.NewMetrics(map[string]string{"host": conf.Host(), "failure_domain": conf.FailureDomain()})
 	defer func() { _ = metrics.Close() }()
 	s, err := sidecar.New(conf, sidecar.WithMetrics(metrics.Handler()), sidecar.WithObserver(metrics.ObserveRequest),
+		sidecar.WithStore(platform.NewClient(conf.Platform(), platform.WithObserver(metrics.ObserveStore))),
 		sidecar.WithGauge(metrics.SetGauge), sidecar.WithLogger(telemetry.NewLogger(output, conf.LogLevel())),
 		sidecar.WithReread(func() (*settings.Sidecar, error) { return settings.ReadSidecar(command.Settings) }))
 	if err != nil {
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -184,9 +184,7 @@
 
 func (g *Gate) outgoing(a admitted, meta hop.Meta, c *Call, remaining time.Duration) *http1.Outgoing {
 	header := c.Header.Clone()
-	hop.StripConnection(header)
-	hop.StripOwn(header)
-	header.Del("Content-Length")
+	hop.Strip(header)
 	platform.SetDelivery(header, platform.Delivery{Instance: a.instance, Remaining: remaining, Caller: meta.Caller})
 	out := &http1.Outgoing{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content,
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyancross/banyancross/admission"
 	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/http1"
@@ -124,19 +125,13 @@
 // decides anew how many of the slots to use.
 func WithFoundNotify(notify func()) Option { return func(g *Gate) { g.notifyFound = notify } }
 
-// systemClock is the clock of the operating system.
-type systemClock struct{}
-
-func (systemClock) Now() time.Time                         { return time.Now() }
-func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 // NewGate returns the Gate of the upstream at address and starts to watch the
 // speed of its host. table returns the configuration in force, nil before the
 // first.
 func NewGate(address string, table func() *route.Table, options ...Option) *Gate {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	g := &Gate{
-		clock: systemClock{}, logger: log.NewNopLogger(), address: address, table: table, notify: func() {},
+		clock: clock.System{}, logger: log.NewNopLogger(), address: address, table: table, notify: func() {},
 		departed: map[departure]struct{}{}, runs: map[string]*Run{},
 		callers: map[string]time.Time{}, times: map[string]*mean{}, notifyLoad: func() {}, notifyFound: func() {}, recalled: map[string]Finding{},
 		holds: quarantine.NewHolds(), runLog: newRunLog(),
--- a/egress/handler.go
+++ b/egress/handler.go
@@ -45,8 +45,7 @@
 		return
 	}
 	header := response.Header
-	hop.StripConnection(header)
-	header.Del("Content-Length")
+	hop.Strip(header)
 	content, whole, err := response.Body.Buffer(smallAnswer)
 	switch {
 	case err != nil:
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -155,10 +155,7 @@
 // misdirected records that another upstream answers at the address.
 func (g *Gate) misdirected(a admitted) {
 	g.mu.Lock()
-	known := g.upstream.instance == a.instance && !g.upstream.unreachable
-	if known {
-		g.upstream.unreachable = true
-	}
+	known := g.lose(a)
 	g.mu.Unlock()
 	if known {
 		_ = level.Warn(g.logger).Log("event", "upstream-replaced", "upstream", a.instance)
@@ -172,12 +169,11 @@
 		g.outcome(true)
 		return
 	}
-	g.mu.Lock()
 	now := g.clock.Now()
-	known := g.upstream.instance == a.instance && !g.upstream.unreachable
+	g.mu.Lock()
+	known := g.lose(a)
 	var suspects []uint64
 	if known {
-		g.upstream.unreachable = true
 		suspects = g.crashed(now)
 	}
 	g.mu.Unlock()
@@ -188,6 +184,16 @@
 	}
 }
 
+// lose records that the upstream is not at its address any more, and tells
+// whether it was until now; g.mu is held.
+func (g *Gate) lose(a admitted) bool {
+	known := g.upstream.instance == a.instance && !g.upstream.unreachable
+	if known {
+		g.upstream.unreachable = true
+	}
+	return known
+}
+
 // reported takes an upstream's report of itself from an answer.
 func (g *Gate) reported(a admitted, answer platform.Answer, header http.Header) {
 	load, ok := answer.Load()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/entry"
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/note"
@@ -21,11 +22,6 @@
 	RunSpecs(t, "entry")
 }
 
-type systemClock struct{}
-
-func (systemClock) Now() time.Time                         { return time.Now() }
-func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 // blank is a directory with the given state and no upstreams.
 type blank struct {
 	state *note.State
@@ -47,7 +43,7 @@
 			state, err = (&note.State{}).Apply(n, note.Change{Now: time.Now()})
 			Expect(err).NotTo(HaveOccurred())
 		}
-		e := entry.New(systemClock{}, blank{state: state}, blank{}, totals.NewCounter("h", "i"))
+		e := entry.New(clock.System{}, blank{state: state}, blank{}, totals.NewCounter("h", "i"))
 		request := httptest.NewRequest(http.MethodPost, path, http.NoBody)
 		if key != "" {
 			request.Header.Set("Idempotency-Key", key)
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -149,3 +149,12 @@
 		}
 	}
 }
+
+// Strip removes what belongs to one hop only: the headers of the connection,
+// those of this system, and the length, which whoever sends the message writes
+// anew.
+func Strip(header http.Header) {
+	StripConnection(header)
+	StripOwn(header)
+	header.Del("Content-Length")
+}
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/http1"
 )
 
@@ -23,10 +24,6 @@
 	RunSpecs(t, "http1")
 }
 
-type systemClock struct{}
-
-func (systemClock) Now() time.Time { return time.Now() }
-
 // handler serves requests by a function.
 type handler func(ctx context.Context, r *http1.Request, reply *http1.Reply)
 
@@ -229,7 +226,7 @@
 func pool(address string) *http1.Pool {
 	p := http1.NewPool(address, func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
-	}, systemClock{}, time.Minute)
+	}, clock.System{}, time.Minute)
 	DeferCleanup(p.Close)
 	return p
 }
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -32,9 +32,7 @@
 	defer r.discard()
 	response := r.answer.Response
 	header := response.Header
-	hop.StripConnection(header)
-	hop.StripOwn(header)
-	header.Del("Content-Length")
+	hop.Strip(header)
 	s.ended(response.Status, call.Answered, "")
 	if r.whole {
 		_ = s.reply.Send(response.Status, header, r.content)
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"gopkg.in/tomb.v2"
 
+	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/control"
 	"github.com/banyancross/banyancross/entry"
 	"github.com/banyancross/banyancross/hop"
@@ -148,17 +149,11 @@
 // WithMetrics sets the handler of the operators' /metrics.
 func WithMetrics(metrics http.Handler) Option { return func(n *Node) { n.metrics = metrics } }
 
-// systemClock is the clock of the operating system.
-type systemClock struct{}
-
-func (systemClock) Now() time.Time                         { return time.Now() }
-func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 // New binds the addresses of the settings and starts the node.
 func New(s *settings.Settings, options ...Option) (*Node, error) {
 	n := &Node{
 		settings:    s,
-		clock:       systemClock{},
+		clock:       clock.System{},
 		logger:      log.NewNopLogger(),
 		bind:        func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		rng:         newLockedRand(rand.Uint64()),
--- a/sidecar/hops.go
+++ b/sidecar/hops.go
@@ -90,9 +90,7 @@
 		return egress.Refusal(call.NotRun, call.ReasonMalformed)
 	}
 	header := c.Header.Clone()
-	hop.StripConnection(header)
-	hop.StripOwn(header)
-	header.Del("Content-Length")
+	hop.Strip(header)
 	header.Set(hop.CallHeader, text)
 	out := &http1.Outgoing{Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content}
 	if c.Rest != nil {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 	"gopkg.in/tomb.v2"
 
+	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/http1"
@@ -110,16 +111,10 @@
 	return func(s *Sidecar) { s.reread = reread }
 }
 
-// systemClock is the clock of the operating system.
-type systemClock struct{}
-
-func (systemClock) Now() time.Time                         { return time.Now() }
-func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 // New binds the addresses of the settings and starts the node.
 func New(conf *settings.Sidecar, options ...Option) (*Sidecar, error) {
 	s := &Sidecar{
-		clock: systemClock{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
+		clock: clock.System{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
 		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, view: fleet.NewView(), holds: quarantine.NewHolds(),
 		changed: make(chan struct{}, 1), loaded: make(chan struct{}, 1), found: make(chan struct{}, 1),
 		fetches: make(chan fleet.Peer, 1),
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -165,6 +165,8 @@
 	if err != nil {
 		return 0, err
 	}
+	// A kept connection may be one of a process that was killed since.
+	request.Close = true
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, err
--- a/telemetry/requests.go
+++ b/telemetry/requests.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"github.com/banyancross/banyancross/ingress"
+	"github.com/banyancross/banyancross/platform"
 )
 
 // ObserveRequest counts a request that a sidecar has answered, and its attempts.
@@ -29,5 +30,16 @@
 	}
 }
 
+// ObserveStore counts a call to the platform's store.
+func (m *Metrics) ObserveStore(e platform.Exchange) {
+	outcome := "unanswered"
+	if !e.Failed {
+		outcome = strconv.Itoa(e.Status)
+	}
+	m.scope.Tagged(map[string]string{"operation": e.Operation, "outcome": outcome}).Counter("store_calls_total").Inc(1)
+	m.scope.Tagged(map[string]string{"operation": e.Operation}).
+		Histogram("store_call_seconds", latencyBuckets).RecordDuration(e.Took)
+}
+
 // SetGauge sets a gauge of the process.
 func (m *Metrics) SetGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/telemetry/trail.go
+++ b/telemetry/trail.go
@@ -47,8 +47,9 @@
 // NotRun tells whether no upstream ran the attempt.
 func (s Step) NotRun() bool { return s.Outcome == call.NotRun.String() }
 
-// String describes the attempt for a reader.
-func (s Step) String() string {
+// Text describes the attempt for a reader. It is no Stringer, since loggers would
+// then write the text in place of the fields.
+func (s Step) Text() string {
 	kind, reason := "", ""
 	if s.Hedge {
 		kind = " hedge"
@@ -60,11 +61,11 @@
 		s.At, s.Host, s.Upstream, kind, s.Outcome, reason, s.Took, s.Waited, s.Running, s.Limit, s.Waiting, s.Slowdown)
 }
 
-// String describes the attempts for a reader.
-func (t Trail) String() string {
+// Text describes the attempts for a reader.
+func (t Trail) Text() string {
 	steps := make([]string, 0, len(t))
 	for _, s := range t {
-		steps = append(steps, s.String())
+		steps = append(steps, s.Text())
 	}
 	return strings.Join(steps, "; ")
 }
--- /dev/null
+++ b/telemetry/trail_test.go
@@ -0,0 +1,33 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/ingress"
+	"github.com/banyancross/banyancross/telemetry"
+)
+
+func TestTrailIsLoggedAsObjects(t *testing.T) {
+	g := NewWithT(t)
+	steps := []ingress.Step{{
+		Host: "a", Upstream: "i-1", Outcome: call.NotRun, Reason: call.ReasonOverload, At: 3 * time.Millisecond,
+		Took: 60 * time.Millisecond, Waited: 50 * time.Millisecond, Load: call.Load{Running: 8, Limit: 8, Slowdown: 5},
+	}}
+	trail := telemetry.NewTrail(steps)
+	var out bytes.Buffer
+	g.Expect(telemetry.NewLogger(&out, "info").Log("event", "request", "trail", trail)).To(Succeed())
+	var line struct {
+		Trail telemetry.Trail `json:"trail"`
+	}
+	g.Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
+	g.Expect(line.Trail).To(Equal(trail))
+	g.Expect(line.Trail[0].NotRun()).To(BeTrue())
+	g.Expect(line.Trail.Text()).To(Equal(
+		"+3ms a/i-1 not-run overload after 60ms, 50ms of them waiting, 8 of 8 running, 0 waiting, slowdown 5.0"))
+}
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/idempotency"
 	"github.com/banyancross/banyancross/note"
@@ -28,11 +29,6 @@
 	RunSpecs(t, "upstream")
 }
 
-type systemClock struct{}
-
-func (systemClock) Now() time.Time                         { return time.Now() }
-func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 const listing = `id = "first"
 [service.kasir]
 slots = 4
@@ -100,7 +96,7 @@
 
 func newGate(address string) *upstream.Gate {
 	GinkgoHelper()
-	gate := upstream.NewGate(systemClock{}, inForce(listing), totals.NewCounter("h", "i"), "i")
+	gate := upstream.NewGate(clock.System{}, inForce(listing), totals.NewCounter("h", "i"), "i")
 	Expect(gate.Announce(upstream.Announcement{
 		Upstream: "kasir-1", Service: "kasir", Address: address, Slots: 4, State: upstream.StateReady,
 	})).To(Succeed())
