sidecar, fleet: eight nodes watch the store, entries outlive a restart

Change: the eight nodes that come first by a hash of their names watch, of those whose beacons say that the store answers them; the others hear of changes from beacons and fetch. A node that starts again finds its entry and renews the lease; its incarnation is then above the earlier one whatever its clock says. A node that is unknown gets one beacon instead of making everyone tell everyone. The retry budget counts in steady time.

--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -65,6 +65,8 @@
 	Compared float32 `cbor:"17,keyasint,omitempty"`
 	// Holds tells of requests under which upstreams ended.
 	Holds []quarantine.Record `cbor:"18,keyasint,omitempty"`
+	// StoreLost tells that the store does not answer the node.
+	StoreLost bool `cbor:"19,keyasint,omitempty"`
 	// Pause is when the receiver may expect the next beacon.
 	Pause time.Duration `cbor:"14,keyasint,omitempty"`
 }
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -33,6 +33,8 @@
 type budgets struct {
 	bounds Budget
 	view   *fleet.View
+	// origin is when the buckets begin; times of day may be set back.
+	origin time.Time
 
 	mu       sync.Mutex
 	services map[string]*budget
@@ -57,7 +59,10 @@
 		b.services[name] = s
 	}
 	span := max(b.bounds.Window/buckets, time.Millisecond)
-	bucket := now.UnixNano() / int64(span)
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	bucket := int64(now.Sub(b.origin) / span)
 	for next := max(s.bucket+1, bucket-buckets+1); next <= bucket; next++ {
 		s.calls[next%buckets], s.repeats[next%buckets] = 0, 0
 	}
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -56,9 +56,9 @@
 func (s *Sidecar) beacon() fleet.Beacon {
 	conf := s.settings.Load()
 	b := fleet.Beacon{
-		Host: conf.Host(), Incarnation: s.incarnation, Sequence: s.sequence.Add(1), Calls: conf.Nodes(),
+		Host: conf.Host(), Incarnation: s.incarnation.Load(), Sequence: s.sequence.Add(1), Calls: conf.Nodes(),
 		Datagrams: conf.Datagrams(), FailureDomain: conf.FailureDomain(),
-		Stopping: s.stopping.Load(),
+		Stopping: s.stopping.Load(), StoreLost: s.storeLost.Load(),
 	}
 	if table := s.table.Load(); table != nil {
 		b.Revision = table.Revision()
@@ -127,8 +127,7 @@
 	s.ingress.Report(b)
 	peers := s.view.Peers()
 	turn := s.strangersTurn(len(peers))
-	rarely := beaconInterval * time.Duration(len(peers)/max(len(turn), 1)+1)
-	often, seldom := s.encoded(b, beaconInterval), s.encoded(b, rarely)
+	often, rarely := s.encoded(b, beaconInterval), s.encoded(b, seldom(len(peers)))
 	callers := s.callersOf()
 	for i, peer := range peers {
 		host := peer.Beacon().Host
@@ -137,18 +136,29 @@
 		case callers[host]:
 			s.sendTo(peer.Beacon().Datagrams, often)
 		case everybody || turn[i]:
-			s.sendTo(peer.Beacon().Datagrams, seldom)
+			s.sendTo(peer.Beacon().Datagrams, rarely)
 		}
 	}
 	s.compare(b, peers)
 }
 
-// strangersTurn returns the places of the nodes whose turn it is.
-func (s *Sidecar) strangersTurn(nodes int) map[int]bool {
-	count := min(nodes, strangers)
+// strangersOf returns how many nodes that send no calls here get a beacon each
+// time.
+func strangersOf(nodes int) int {
 	if nodes > strangerFleet {
-		count = max(minStrangers, strangers*strangerFleet/nodes)
+		return max(minStrangers, strangers*strangerFleet/nodes)
 	}
+	return min(nodes, strangers)
+}
+
+// seldom returns the pause between beacons to a node that sends no calls here.
+func seldom(nodes int) time.Duration {
+	return beaconInterval * time.Duration(nodes/max(strangersOf(nodes), 1)+1)
+}
+
+// strangersTurn returns the places of the nodes whose turn it is.
+func (s *Sidecar) strangersTurn(nodes int) map[int]bool {
+	count := strangersOf(nodes)
 	turn := make(map[int]bool, count)
 	for range count {
 		turn[s.turn%nodes] = true
@@ -252,7 +262,8 @@
 	}
 	if !news.Known || news.Restarted {
 		// The other node may not know this one yet.
-		s.announce()
+		own := s.beacon()
+		s.sendTo(b.Datagrams, s.encoded(own, seldom(len(s.view.Peers()))))
 	}
 	if table := s.table.Load(); table == nil && b.Revision > 0 || table != nil && b.Revision > table.Revision() {
 		for _, peer := range s.view.Peers() {
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
 	"github.com/banyancross/banyancross/http1"
@@ -15,6 +16,19 @@
 const (
 	// configurationPath is where a node hands its configuration to others.
 	configurationPath = "/.banyancross/configuration"
+	// watchers is how many nodes watch the store for a new configuration; the
+	// others hear of it from them. The loss of a failure domain leaves some, and
+	// the calls to the store do not grow with the fleet.
+	watchers = 8
+	// substitutes is how many more watch at most in place of those that have lost
+	// the store, so that an outage does not make all nodes ask for its end.
+	substitutes = watchers
+	// takeover is how long a new node asks the store itself, and waits for those
+	// that it has only read of: less than half of the time in which a
+	// configuration must be in force.
+	takeover = time.Second
+	// roleCheck is the pause between looks at whether this node should watch.
+	roleCheck = 100 * time.Millisecond
 	// watchSlot is the time between the new watches of two nodes. Whichever node
 	// begins anew also hears what a silent watch has missed, and tells the
 	// others; a third of the time in which a configuration must be in force
@@ -22,9 +36,6 @@
 	watchSlot = 600 * time.Millisecond
 	// minWatch is the least time that a watch is worth its call.
 	minWatch = 300 * time.Millisecond
-	// maxWatch is the longest round of all nodes, within the longest watch that
-	// the platform takes.
-	maxWatch = 25 * time.Second
 	// storeRetry is the first pause after a failed call to the store, and
 	// maxStoreRetry the longest.
 	storeRetry    = 150 * time.Millisecond
@@ -36,30 +47,33 @@
 	maxConfiguration = platform.MaxValue
 )
 
-// watchConfiguration follows the operators' configuration in the store.
+// watchConfiguration reads the operators' configuration from the store, so that
+// a node that starts is ready soon, and follows it while this node is among those
+// that watch.
 func (s *Sidecar) watchConfiguration() error {
 	var last platform.Entry
-	pause, lost := storeRetry, false
+	pause, read := storeRetry, false
 	for s.tomb.Alive() {
+		if (read || !s.young()) && !s.watches() {
+			if !s.sleep(roleCheck) {
+				return nil
+			}
+			continue
+		}
 		next, err := s.store.WatchFor(s.context(), platform.ConfigurationKey, last, s.watchWait())
 		if err != nil {
 			if !s.tomb.Alive() {
 				return nil
 			}
-			if !lost {
-				_ = level.Warn(s.logger).Log("event", "store-lost", "err", err)
-			}
-			lost = true
+			s.reached(err)
 			if !s.sleep(s.jittered(pause)) {
 				return nil
 			}
 			pause = min(2*pause, maxStoreRetry)
 			continue
 		}
-		if lost {
-			_ = level.Info(s.logger).Log("event", "store-regained")
-		}
-		pause, lost = storeRetry, false
+		pause, read = storeRetry, true
+		s.reached(nil)
 		if next.Version() != last.Version() && len(next.Value()) > 0 {
 			s.adopt(next.Value(), "store")
 		}
@@ -68,27 +82,78 @@
 	return nil
 }
 
-// watchWait is how long the next watch waits: until this node's slot in a round
-// of all nodes. A change ends all watches at once, and without slots they would
-// also begin anew at the same time ever after.
-func (s *Sidecar) watchWait() time.Duration {
+// reached records whether the store answered, and tells the others when that has
+// changed: another one watches in place of a node that has lost it.
+func (s *Sidecar) reached(err error) {
+	lost := err != nil
+	if s.storeLost.Swap(lost) == lost {
+		return
+	}
+	if lost {
+		_ = level.Warn(s.logger).Log("event", "store-lost", "err", err)
+	} else {
+		_ = level.Info(s.logger).Log("event", "store-regained")
+	}
+	s.announce()
+}
+
+// young tells that the node has just started.
+func (s *Sidecar) young() bool { return s.clock.Now().Sub(s.started) < takeover }
+
+// watches tells whether this node should watch the store.
+func (s *Sidecar) watches() bool {
+	p := s.place()
+	return p.able < watchers && p.live < watchers+substitutes
+}
+
+// places are how many nodes come before this one.
+type places struct {
+	// live counts those that live, able those of them that the store answers,
+	// and nodes all that it answers, with this one.
+	live, able, nodes int
+}
+
+// place returns this node's place, in an order that has nothing to do with where
+// nodes are.
+func (s *Sidecar) place() places {
 	self := s.settings.Load().Host()
-	place, nodes := 0, 1
+	own := xxhash.Sum64String(self)
+	young := s.young()
+	p := places{nodes: 1}
 	for _, peer := range s.view.Peers() {
-		if host := peer.Beacon().Host; host != self && !peer.Silent() {
-			nodes++
-			if host < self {
-				place++
-			}
+		b := peer.Beacon()
+		if b.Host == self || b.Stopping || (peer.Silent() && !young) {
+			continue
+		}
+		other := xxhash.Sum64String(b.Host)
+		before := other < own || (other == own && b.Host < self)
+		if before {
+			p.live++
+		}
+		if b.StoreLost {
+			continue
+		}
+		p.nodes++
+		if before {
+			p.able++
 		}
 	}
-	return untilSlot(s.clock.Now(), place, nodes)
+	return p
+}
+
+// watchWait is how long the next watch waits: until this node's slot in a round
+// of those that watch. A change ends all watches at once, and without slots they
+// would also begin anew at the same time ever after.
+func (s *Sidecar) watchWait() time.Duration {
+	p := s.place()
+	nodes := min(p.nodes, watchers)
+	return untilSlot(s.clock.Now(), p.able%nodes, nodes)
 }
 
 // untilSlot returns the time until the slot of the node at a place among nodes.
 // Clocks of hosts are close enough for slots of this length.
 func untilSlot(now time.Time, place, nodes int) time.Duration {
-	round := min(time.Duration(nodes)*watchSlot, maxWatch)
+	round := time.Duration(nodes) * watchSlot
 	due := round / time.Duration(nodes) * time.Duration(place)
 	wait := (due - time.Duration(now.UnixNano())%round + round) % round
 	if wait < minWatch {
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -22,3 +22,6 @@
 
 // Limit returns how many calls the gate lets run.
 func (s *Sidecar) Limit() int { return int(s.gate.Load().Limit) }
+
+// Watches tells whether the node watches the store.
+func (s *Sidecar) Watches() bool { return s.watches() }
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -23,6 +23,9 @@
 	// leaseRenewal how often it is renewed.
 	leaseDuration = 30 * time.Second
 	leaseRenewal  = 9 * time.Second
+	// maxRenewalRetry is the longest pause after a failed renewal. The entry is
+	// for nodes that start, which hear of this one from the others as well.
+	maxRenewalRetry = 4 * time.Second
 	// findingPause is how long a new finding waits to be kept. The nodes of a
 	// service decide at nearly the same time, and comparisons go on.
 	findingPause = time.Second
@@ -36,13 +39,16 @@
 
 // register keeps this node's entry in the store and reads those of the others.
 func (s *Sidecar) register() error {
-	lease := uint64(0)
+	lease := s.resume()
 	pause, failing := storeRetry, false
 	for s.tomb.Alive() {
 		err := s.renew(&lease)
 		if err == nil {
 			err = s.lookUp()
 		}
+		if err == nil {
+			s.reached(nil)
+		}
 		wait := leaseRenewal
 		switch {
 		case err == nil && failing:
@@ -52,7 +58,7 @@
 		}
 		failing = err != nil
 		if failing {
-			wait, pause = pause, min(2*pause, maxStoreRetry)
+			wait, pause = pause, min(2*pause, maxRenewalRetry)
 		} else {
 			pause = storeRetry
 		}
@@ -63,6 +69,40 @@
 	return nil
 }
 
+// resume returns the lease of the entry that an earlier process of this node has
+// left, 0 when there is none. What it reads may be some seconds old, which is as
+// good as up to date if the entry is there: nodes that have started since have
+// found it.
+func (s *Sidecar) resume() uint64 {
+	entries, _, err := s.store.List(s.context(), entriesPrefix, true)
+	if err != nil {
+		_ = level.Warn(s.logger).Log("event", "registration-failed", "err", err)
+		return 0
+	}
+	conf := s.settings.Load()
+	for _, entry := range entries {
+		if entry.Key() != nodesPrefix+conf.Host() || entry.Lease() == 0 {
+			continue
+		}
+		b, err := fleet.Decode(entry.Value())
+		if err != nil || b.Calls != conf.Nodes() || b.Datagrams != conf.Datagrams() || b.FailureDomain != conf.FailureDomain() {
+			return 0
+		}
+		s.succeed(b.Incarnation)
+		s.introduce(entries)
+		return entry.Lease()
+	}
+	return 0
+}
+
+// succeed makes this process later than an earlier one of the node, whatever the
+// time of day was then.
+func (s *Sidecar) succeed(earlier int64) {
+	if s.incarnation.Load() <= earlier {
+		s.incarnation.Store(earlier + 1)
+	}
+}
+
 // renew renews the lease of the entry, or writes the entry under a new one.
 func (s *Sidecar) renew(lease *uint64) error {
 	ctx := s.context()
@@ -96,6 +136,12 @@
 	if err != nil {
 		return err
 	}
+	s.introduce(entries)
+	return nil
+}
+
+// introduce takes the entries of the fleet.
+func (s *Sidecar) introduce(entries []platform.Entry) {
 	now := s.clock.Now()
 	for _, entry := range entries {
 		if service, ok := strings.CutPrefix(entry.Key(), findingsPrefix); ok {
@@ -115,7 +161,6 @@
 		_ = level.Info(s.logger).Log("event", "fleet-read", "entries", len(entries))
 	}
 	s.announce()
-	return nil
 }
 
 // recall hands the gate what was found about the upstreams of a service.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -43,20 +43,24 @@
 
 // Sidecar is the process beside a backend server.
 type Sidecar struct {
-	clock       Clock
-	logger      log.Logger
-	store       Store
-	incarnation int64
-	metrics     http.Handler
-	observe     func(ingress.Observation)
-	reread      func() (*settings.Sidecar, error)
-	gauge       func(name string, value float64)
+	clock   Clock
+	logger  log.Logger
+	store   Store
+	started time.Time
+	metrics http.Handler
+	observe func(ingress.Observation)
+	reread  func() (*settings.Sidecar, error)
+	gauge   func(name string, value float64)
 
 	settings atomic.Pointer[settings.Sidecar]
 	table    atomic.Pointer[route.Table]
 	raw      atomic.Pointer[[]byte]
-	sequence atomic.Uint64
-	stopping atomic.Bool
+	// incarnation is above that of each earlier start of the node.
+	incarnation atomic.Int64
+	sequence    atomic.Uint64
+	// storeLost tells that the latest call to the store was not answered.
+	storeLost atomic.Bool
+	stopping  atomic.Bool
 	// viewed tells that the other nodes were looked up once.
 	viewed atomic.Bool
 
@@ -127,7 +131,8 @@
 		s.store = platform.NewClient(conf.Platform())
 	}
 	s.settings.Store(conf)
-	s.incarnation = s.clock.Now().UnixNano()
+	s.started = s.clock.Now()
+	s.incarnation.Store(s.started.UnixNano())
 	s.logger = log.With(s.logger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.Backend(), s.table.Load, egress.WithClock(s.clock),
 		egress.WithLogger(s.logger), egress.WithNotify(s.announce), egress.WithLoadNotify(s.announceLoad),
@@ -143,7 +148,7 @@
 	}
 	s.start()
 	_ = level.Info(s.logger).Log("event", "started", "failure-domain", conf.FailureDomain(), "service", conf.Service(),
-		"callers", conf.Callers(), "incarnation", s.incarnation)
+		"callers", conf.Callers(), "incarnation", s.incarnation.Load())
 	return s, nil
 }
 
