--- a/admission/gate.go
+++ b/admission/gate.go
@@ -14,10 +14,12 @@
 	// coldShare is the share of the slots open at the start of a cold start.
 	coldShare = 0.25
 	// nestedShare is the share of nested calls from which part of the slots is
-	// kept for them, and nestedReserve is that part.
+	// kept for them, and nestedReserve is that part. Nested calls are short: a
+	// fifth of the slots runs about as many of them as the rest runs others.
 	nestedShare   = 0.15
 	nestedReserve = 0.2
-	// nestedWeight is the weight of a call in the share of nested calls.
+	// nestedWeight is the weight of a call in the share of nested calls, which
+	// thus is over the last fifty calls.
 	nestedWeight = 0.02
 	// serviceWeight is the weight of a new sample in the service time.
 	serviceWeight = 0.1
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -17,15 +17,18 @@
 
 const (
 	// leafShare is the part of the budget that is spent on upstreams that call
-	// no others; the rest is for what the nodes do not know of each other.
+	// no others. The nodes share the bound but not their counts, and a node
+	// counts fewer nodes than there are while some are silent: the rest of the
+	// budget covers a quarter of them.
 	leafShare = 0.75
-	// parentShare is that for upstreams that call others: the calls of a repeat
-	// are repeats at the services that are called.
+	// parentShare is that for upstreams that call others. The calls of a repeat
+	// are repeats at the services that are called, which spend leafShare
+	// themselves: together they stay below the bound.
 	parentShare = 0.4
 	// leafFanout is the number of calls to a run up to which an upstream counts
 	// as one that calls no others.
 	leafFanout = 0.1
-	// buckets divide the window.
+	// buckets divide the window; a tenth of it is the error at its edge.
 	buckets = 10
 )
 
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -16,31 +16,39 @@
 
 const (
 	// maxSelective bounds how many gates may refuse a request because another
-	// upstream would probably answer sooner.
+	// upstream would probably answer sooner. With a quarter of the hosts slow at
+	// a time, one request in 64 meets three slow ones.
 	maxSelective = 3
-	// maxPatient bounds the gates at which a request waits.
+	// maxPatient bounds the gates at which a request waits: with maxPatience at
+	// each, what is left of the objective still holds a run.
 	maxPatient = 2
-	// maxPicks bounds the gates that are asked.
-	maxPicks = 6
+	// maxPicks bounds the gates that are asked: those that refuse, those that
+	// let wait, and one more.
+	maxPicks = maxSelective + maxPatient + 1
 	// maxPatience and minPatience are the parts of the latency objective that a
-	// request may wait at the last gate that is asked.
+	// request may wait at a gate. The most leaves as much for the run as for the
+	// wait, the least covers the end of one run among an upstream's many.
 	maxPatience = 0.4
 	minPatience = 0.15
-	// typicalWeight is the weight of a new sample in a route's typical time.
+	// typicalWeight is the weight of a new sample in a route's typical time, so
+	// that about twenty calls make it.
 	typicalWeight = 0.05
 	// hedgeShare is the part of the latency objective after which an
-	// idempotent request is sent to a second upstream.
+	// idempotent request is sent to a second upstream, which then has as long as
+	// the first one had.
 	hedgeShare = 0.5
 	// hedgeReserve is the part of the retry budget that hedges leave for
-	// attempts that failed.
+	// attempts that failed: as much as they may take.
 	hedgeReserve = 0.5
-	// defaultObjective stands for the objective of a route without one.
+	// defaultObjective stands for the objective of a route without one. Callers
+	// who wait for a page notice what is longer.
 	defaultObjective = 500 * time.Millisecond
 	// longAnswer is the length from which an answer stays within the failure
 	// domain, in bytes. Links charge about what a call is worth for 90 KiB
 	// between domains, and a third of that is more than a slow host costs it.
 	longAnswer = 32 << 10
-	// minAttempt is the least time that is worth another attempt.
+	// minAttempt is the least time that is worth another attempt: a round trip
+	// between failure domains.
 	minAttempt = 10 * time.Millisecond
 )
 
--- a/routing/reporting.go
+++ b/routing/reporting.go
@@ -16,28 +16,34 @@
 	// neighbours on a shared host comes and goes within such a time.
 	slowdownLife = 150 * time.Millisecond
 	// remoteWeight is what another failure domain costs, in shares of an
-	// upstream's capacity.
+	// upstream's capacity: two more link delays each way are about a quarter of a
+	// short run.
 	remoteWeight = 0.25
 	// transferUnit is how many bytes from another failure domain cost as much as
 	// the whole capacity of an upstream: what a link charges for that many is
 	// close to what a call is worth.
 	transferUnit = 90 << 10
-	// maxTransferWeight bounds the cost of a long answer.
+	// maxTransferWeight bounds the cost of a long answer, so that an upstream
+	// elsewhere is still better than one that fails.
 	maxTransferWeight = 2
 	// busyLife is how long a report that an upstream is full is believed.
 	busyLife = 100 * time.Millisecond
-	// slow is the slowdown of an upstream that counts as busy.
+	// slow is the slowdown of an upstream that counts as busy: it does less than
+	// half of what it could, so that any other with free slots is sooner done.
 	slow = 2
-	// failingWeight is what an upstream that mostly fails costs.
+	// failingWeight is what an upstream that mostly fails costs: more than any
+	// load, distance and slowdown together.
 	failingWeight = 4
-	// lostWeight is what an attempt without an answer costs at first, and
-	// lostHalfLife how soon half of that is forgotten.
+	// lostWeight is what an attempt without an answer costs at first, more than
+	// a full upstream, and lostHalfLife how soon half of that is forgotten: a
+	// process that was killed is back within that time.
 	lostWeight   = 1.5
 	lostHalfLife = time.Second
 	// maxReported bounds the upstreams that are remembered. When it is reached,
 	// most have left long ago, and those that have not report again soon.
 	maxReported = 4096
-	// jitterWeight spreads the choices of nodes that know the same.
+	// jitterWeight spreads the choices of nodes that know the same, by about the
+	// load that one of a few running calls makes.
 	jitterWeight = 0.15
 )
 
