--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -16,6 +16,7 @@
 	logLevel      string
 	callers       string
 	nodes         string
+	advertised    string
 	datagrams     string
 	ready         string
 	upstream      string
@@ -46,9 +47,13 @@
 // Callers returns the address that takes requests.
 func (s *Sidecar) Callers() string { return s.callers }
 
-// Nodes returns the address that other nodes send calls to.
+// Nodes returns the address that takes the calls of other nodes.
 func (s *Sidecar) Nodes() string { return s.nodes }
 
+// AdvertisedNodes returns the address that other nodes send calls to: that of
+// Nodes, unless something stands between them that forwards to it.
+func (s *Sidecar) AdvertisedNodes() string { return s.advertised }
+
 // Datagrams returns the address that other nodes send beacons to.
 func (s *Sidecar) Datagrams() string { return s.datagrams }
 
@@ -88,6 +93,12 @@
 	Backend       string        `toml:"backend"`
 	Listen        sidecarListen `toml:"listen"`
 	Bounds        sidecarBounds `toml:"bounds"`
+	// Advertise holds what other nodes are told instead of an address of Listen.
+	Advertise sidecarAdvertise `toml:"advertise"`
+}
+
+type sidecarAdvertise struct {
+	Nodes string `toml:"nodes"`
 }
 
 type sidecarListen struct {
@@ -142,6 +153,10 @@
 		grace:         c.duration(doc.Bounds.Grace, "bounds", "grace"),
 		memory:        int(c.positive(float64(doc.Bounds.MemoryMB), "bounds", "memory-mb")),
 	}
+	s.advertised = s.nodes
+	if doc.Advertise.Nodes != "" {
+		s.advertised = c.address(doc.Advertise.Nodes, "advertise", "nodes")
+	}
 	if c.err != nil {
 		return nil, c.err
 	}
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -56,7 +56,7 @@
 func (s *Sidecar) beacon() fleet.Beacon {
 	conf := s.settings.Load()
 	b := fleet.Beacon{
-		Host: conf.Host(), Incarnation: s.incarnation.Load(), Sequence: s.sequence.Add(1), Calls: conf.Nodes(),
+		Host: conf.Host(), Incarnation: s.incarnation.Load(), Sequence: s.sequence.Add(1), Calls: conf.AdvertisedNodes(),
 		Datagrams: conf.Datagrams(), FailureDomain: conf.FailureDomain(),
 		Stopping: s.stopping.Load(), StoreLost: s.storeLost.Load(),
 	}
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		b, err := fleet.Decode(entry.Value())
-		if err != nil || b.Calls != conf.Nodes() || b.Datagrams != conf.Datagrams() || b.FailureDomain != conf.FailureDomain() {
+		if err != nil || b.Calls != conf.AdvertisedNodes() || b.Datagrams != conf.Datagrams() || b.FailureDomain != conf.FailureDomain() {
 			return 0
 		}
 		s.succeed(b.Incarnation)
