soak: a randomized soak of sidecar processes, with faults from outside

banyancross soak draws from a seed which processes are killed, paused, stopped or told to reload, which connections between nodes, to upstreams and to the store are delayed, reset, silenced, cut one way or refused by forwarders, what the store and the upstreams do wrong, and when upstreams move and the configuration changes; one seed in four has planned work only. It checks what callers and upstreams saw. Each check has a test that feeds it the violation.

--- a/cmd/banyancross/main.go
+++ b/cmd/banyancross/main.go
@@ -35,6 +35,7 @@
 	Demo     demoCommand     `cmd:"" help:"Run a whole fleet in this process for some seconds."`
 	Load     loadCommand     `cmd:"" help:"Measure the routing policies against each other."`
 	Slopes   slopesCommand   `cmd:"" help:"Measure the figures of docs/CAPACITY.md."`
+	Soak     soakCommand     `cmd:"" help:"Disturb fleets of sidecar processes and check what callers and upstreams see."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of a backend server."`
 }
 
--- /dev/null
+++ b/cmd/banyancross/soak.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/banyancross/banyancross/soak"
+)
+
+// soakCommand disturbs fleets of processes and checks what callers see.
+type soakCommand struct {
+	Seed    uint64        `default:"1" help:"The seed of the first run."`
+	Seeds   int           `default:"1" help:"How many runs, each with the next seed."`
+	Nodes   int           `default:"5" help:"How many sidecars a run has."`
+	Span    time.Duration `default:"12s" help:"How long a fleet is disturbed."`
+	Timed   bool          `default:"true" negatable:"" help:"Also check what has a bound in time; not for a machine that is busy."`
+	Program string        `help:"The program to run; this one when empty."`
+	Dir     string        `type:"path" help:"Where settings and logs go; a temporary directory when empty. The logs of runs in which something was violated are kept."`
+	Events  bool          `help:"List the disturbances of each run."`
+}
+
+// Run implements the command.
+func (command *soakCommand) Run(c console) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	program, dir := command.Program, command.Dir
+	var err error
+	if program == "" {
+		if program, err = os.Executable(); err != nil {
+			return err
+		}
+	}
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "banyancross-soak-"); err != nil {
+			return err
+		}
+	}
+	failed := 0
+	for i := range command.Seeds {
+		ok, err := command.one(ctx, c, program, dir, command.Seed+uint64(i))
+		if err != nil {
+			return err
+		}
+		if !ok {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d seeds failed; logs in %s", failed, command.Seeds, dir)
+	}
+	return os.RemoveAll(dir)
+}
+
+// one plays one seed and tells whether nothing was violated.
+func (command *soakCommand) one(ctx context.Context, c console, program, dir string, seed uint64) (bool, error) {
+	own := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
+	report, err := soak.Run(ctx, soak.Options{
+		Seed: seed, Nodes: command.Nodes, Span: command.Span, Program: program, Dir: own, Timed: command.Timed,
+	})
+	if err != nil {
+		return false, err
+	}
+	verdict := "ok"
+	if len(report.Violations) > 0 {
+		verdict = "FAILED"
+	}
+	_, _ = fmt.Fprintf(c.out, "seed %d: %s, %d disturbances, %d requests, %d served\n",
+		seed, verdict, len(report.Events), report.Requests, report.Served)
+	if command.Events || len(report.Violations) > 0 {
+		for _, event := range report.Events {
+			_, _ = fmt.Fprintln(c.out, "  ", event)
+		}
+	}
+	for _, violation := range report.Violations {
+		_, _ = fmt.Fprintln(c.out, "  violated:", violation)
+	}
+	if len(report.Violations) > 0 {
+		return false, nil
+	}
+	return true, os.RemoveAll(own)
+}
--- /dev/null
+++ b/soak/node.go
@@ -0,0 +1,288 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/banyancross/banyancross/standin"
+)
+
+const (
+	// beatPause is the pause between heartbeats of an upstream.
+	beatPause = 200 * time.Millisecond
+	// work is how long an upstream works on a request.
+	work = 20 * time.Millisecond
+	// drainAllowed is how long after the word of its leaving requests may still
+	// reach an upstream.
+	drainAllowed = 2 * time.Second
+	// calm is how long a node must be left alone to count as undisturbed.
+	calm = 3 * time.Second
+	// grace is how long a planned stop may take.
+	grace = 6 * time.Second
+)
+
+// server is one upstream that has stood beside a node.
+type server struct {
+	backend *standin.Backend
+	// left is when its leaving was acknowledged, zero if it was not.
+	left time.Time
+}
+
+// node is one host: a sidecar process, the upstream beside it, and the
+// forwarders between it and the others.
+type node struct {
+	index                   int
+	name                    string
+	program, settings, logs string
+	callers, ready, control string
+	calls, upstream, store  *Forwarder
+
+	mu       sync.Mutex
+	servers  []*server
+	state    string
+	process  *exec.Cmd
+	exited   chan struct{}
+	lives    int
+	stopping bool
+	// ending tells that the process was told to end.
+	ending bool
+	// violate takes what must not happen.
+	violate func(format string, arguments ...any)
+	// busy is held while an event has the process, and moving while the upstream
+	// is replaced.
+	busy, moving sync.Mutex
+	// harmed is when the latest disturbance of the node that was not planned
+	// ended, and linked the same for the way to its upstream.
+	harmed, linked time.Time
+}
+
+const settingsText = `host = %q
+failure-domain = "z%d"
+service = "stock"
+platform = %q
+backend = %q
+[listen]
+callers = %q
+nodes = %q
+datagrams = %q
+ready = %q
+upstream = %q
+metrics = %q
+[advertise]
+nodes = %q
+[bounds]
+retry-ratio = 0.2
+retry-slack = 60
+retry-window = "10s"
+grace = "6s"
+memory-mb = 284
+`
+
+// failureDomains is how many failure domains the nodes are spread over.
+const failureDomains = 3
+
+// newNode prepares a node; its process is not started yet.
+func newNode(o Options, index int, store string) (n *node, err error) {
+	n = &node{
+		index: index, name: fmt.Sprintf("host-%d", index), program: o.Program, state: "ready",
+		settings: filepath.Join(o.Dir, fmt.Sprintf("host-%d.toml", index)),
+		logs:     filepath.Join(o.Dir, fmt.Sprintf("host-%d.log", index)),
+	}
+	free, err := addresses(6)
+	if err != nil {
+		return nil, &Error{op: "listen", kind: KindSetup, err: err}
+	}
+	n.callers, n.ready, n.control = free[0], free[3], free[4]
+	first, err := n.addServer()
+	if err != nil {
+		return nil, err
+	}
+	if n.upstream, err = NewForwarder("127.0.0.1:0", first.backend.Address()); err != nil {
+		return nil, err
+	}
+	first.backend.Announce(n.upstream.Address())
+	if n.calls, err = NewForwarder("127.0.0.1:0", free[1]); err != nil {
+		return nil, err
+	}
+	if n.store, err = NewForwarder("127.0.0.1:0", store); err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(settingsText, n.name, index%failureDomains, n.store.Address(), n.upstream.Address(),
+		free[0], free[1], free[2], free[3], free[4], free[5], n.calls.Address())
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		return nil, &Error{op: "settings", kind: KindSetup, err: err}
+	}
+	return n, nil
+}
+
+// addresses returns loopback addresses that nothing listens at. They are below
+// the ports that outgoing connections get.
+func addresses(count int) ([]string, error) {
+	var found []string
+	for len(found) < count {
+		portsMu.Lock()
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%ports)
+		portsMu.Unlock()
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err != nil {
+			return nil, err
+		}
+		found = append(found, address)
+	}
+	return found, nil
+}
+
+// firstPort and ports are the range that addresses are taken from.
+const (
+	firstPort = 12000
+	ports     = 8000
+)
+
+var (
+	portsMu  sync.Mutex
+	nextPort = os.Getpid() % ports
+)
+
+// addServer puts a new upstream beside the node.
+func (n *node) addServer() (*server, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	backend, err := standin.NewBackend(fmt.Sprintf("i-%d-%d", n.index, len(n.servers)), "stock", "z", "127.0.0.1:0")
+	if err != nil {
+		return nil, &Error{op: "upstream", kind: KindSetup, err: err}
+	}
+	backend.SetWork(work)
+	s := &server{backend: backend}
+	n.servers = append(n.servers, s)
+	n.state = "ready"
+	return s, nil
+}
+
+// current returns the upstream that stands beside the node.
+func (n *node) current() (*server, string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.servers[len(n.servers)-1], n.state
+}
+
+// beat sends heartbeats until ctx ends.
+func (n *node) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		s, state := n.current()
+		one, cancel := context.WithTimeout(ctx, calm)
+		// A node that is away is told again the next time.
+		_, _ = s.backend.Heartbeat(one, n.control, state)
+		cancel()
+		sleep(ctx, beatPause)
+	}
+}
+
+// replace empties the upstream, ends it, and puts another one at its address.
+func (n *node) replace(ctx context.Context, span time.Duration) error {
+	s, _ := n.current()
+	n.mu.Lock()
+	n.state = "draining"
+	n.mu.Unlock()
+	one, cancel := context.WithTimeout(ctx, calm)
+	status, err := s.backend.Leave(one, n.control)
+	cancel()
+	if err == nil && status/100 == 2 {
+		n.mu.Lock()
+		s.left = time.Now()
+		n.mu.Unlock()
+	}
+	sleep(ctx, drainAllowed+span)
+	next, err := n.addServer()
+	if err != nil {
+		return err
+	}
+	next.backend.Announce(n.upstream.Address())
+	n.upstream.Retarget(next.backend.Address())
+	s.backend.Close()
+	return nil
+}
+
+// start starts the process, and again whenever it ends.
+func (n *node) start() error {
+	logs, err := os.OpenFile(n.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return &Error{op: "logs", kind: KindSetup, err: err}
+	}
+	command := exec.Command(n.program, "sidecar", "--settings", n.settings)
+	command.Stdout, command.Stderr = logs, logs
+	err = command.Start()
+	_ = logs.Close()
+	if err != nil {
+		return &Error{op: "start", kind: KindSetup, err: err}
+	}
+	n.mu.Lock()
+	n.process, n.exited, n.stopping = command, make(chan struct{}), false
+	n.ending = false
+	n.lives++
+	exited := n.exited
+	n.mu.Unlock()
+	go func() {
+		err := command.Wait()
+		n.mu.Lock()
+		ending := n.ending
+		n.mu.Unlock()
+		if !ending {
+			n.violate("%s ended by itself: %v", n.name, err)
+		}
+		close(exited)
+	}()
+	return nil
+}
+
+// signal signals the process that runs now, and returns what is closed when it
+// has ended.
+func (n *node) signal(s syscall.Signal) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		n.ending = n.ending || s == syscall.SIGKILL || s == syscall.SIGTERM
+		_ = n.process.Process.Signal(s)
+	}
+	return n.exited
+}
+
+// life tells which start of the process runs now, and whether it stops.
+func (n *node) life() (int, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lives, n.stopping
+}
+
+// close ends everything of the node.
+func (n *node) close() {
+	if exited := n.signal(syscall.SIGKILL); exited != nil {
+		<-exited
+	}
+	for _, f := range []*Forwarder{n.calls, n.upstream, n.store} {
+		f.Close()
+	}
+	for _, s := range n.servers {
+		s.backend.Close()
+	}
+}
+
+// sleep waits, unless ctx ends before.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/banyancross/banyancross/standin"
+)
+
+const (
+	// readyWithin bounds the start of a fleet, on a machine that is busy.
+	readyWithin = 30 * time.Second
+	// recoverWithin is when a fleet must serve again after the last disturbance.
+	recoverWithin = 15 * time.Second
+	// lookPause is the pause between looks at whether the fleet serves.
+	lookPause = 100 * time.Millisecond
+)
+
+// Options say what to run.
+type Options struct {
+	// Seed draws the disturbances.
+	Seed uint64
+	// Nodes is how many sidecars run.
+	Nodes int
+	// Span is how long the fleet is disturbed.
+	Span time.Duration
+	// Program is the path of the program.
+	Program string
+	// Dir takes settings and logs.
+	Dir string
+	// Timed also checks what has a bound in time.
+	Timed bool
+}
+
+// Report is what came of a run.
+type Report struct {
+	Events     []string
+	Requests   int
+	Served     int
+	Violations []string
+}
+
+// fleet is the state of a run.
+type fleet struct {
+	options  Options
+	platform *standin.Platform
+	nodes    []*node
+
+	mu         sync.Mutex
+	version    int
+	published  []time.Time
+	harmed     time.Time
+	records    []record
+	violations []string
+}
+
+// Run plays one run.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, &Error{op: "directory", kind: KindSetup, err: err}
+	}
+	f := &fleet{options: o, platform: standin.NewPlatform()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, &Error{op: "listen", kind: KindSetup, err: err}
+	}
+	server := &http.Server{Handler: f.platform, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	defer func() {
+		f.platform.Close()
+		_ = server.Close()
+	}()
+	defer f.close()
+	for i := range o.Nodes {
+		n, err := newNode(o, i, listener.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		n.violate = f.violate
+		f.nodes = append(f.nodes, n)
+	}
+	return f.play(ctx)
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.close()
+	}
+}
+
+// play starts the nodes, disturbs them, lets them settle and checks.
+func (f *fleet) play(ctx context.Context) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.publish()
+	for _, n := range f.nodes {
+		if err := n.start(); err != nil {
+			return nil, err
+		}
+		go n.beat(ctx)
+	}
+	if !f.serves(ctx, "before", readyWithin) {
+		return nil, &Error{op: "start", kind: KindSettle, err: eris.Errorf("not all nodes serve after %s", readyWithin)}
+	}
+	calling, stopCalling := context.WithCancel(ctx)
+	defer stopCalling()
+	var callers sync.WaitGroup
+	for _, n := range f.nodes {
+		for i := range callersPerNode {
+			callers.Go(func() { f.caller(calling, n, i) })
+		}
+	}
+	events := draw(f.options.Seed, f.options.Nodes, f.options.Span)
+	f.disturb(ctx, events)
+	served := f.serves(ctx, "after", recoverWithin+f.slack())
+	stopCalling()
+	callers.Wait()
+	if !served && ctx.Err() == nil {
+		f.violate("not all nodes serve %s after the last disturbance", recoverWithin)
+	}
+	f.check()
+	return f.report(events), ctx.Err()
+}
+
+// slack is added to the bound on recovery when times are not checked.
+func (f *fleet) slack() time.Duration {
+	if f.options.Timed {
+		return 0
+	}
+	return readyWithin
+}
+
+// disturb plays the events and waits until all are over.
+func (f *fleet) disturb(ctx context.Context, events []event) {
+	began := time.Now()
+	var running sync.WaitGroup
+	for _, e := range events {
+		sleep(ctx, e.at-time.Since(began))
+		if ctx.Err() != nil {
+			break
+		}
+		running.Go(func() { f.apply(ctx, e) })
+	}
+	running.Wait()
+}
+
+// serves waits until each node has a request served.
+func (f *fleet) serves(ctx context.Context, name string, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	c := standin.NewCaller()
+	defer c.Close()
+	for i, n := range f.nodes {
+		for tries := 0; ; tries++ {
+			r := f.send(ctx, c, n, record{id: fmt.Sprintf("%s-%d-%d", name, i, tries), path: "/view/1", node: i})
+			if r.err == nil && r.answer.Status == http.StatusOK {
+				break
+			}
+			if ctx.Err() != nil {
+				return false
+			}
+			sleep(ctx, lookPause)
+		}
+	}
+	return true
+}
+
+func (f *fleet) report(events []event) *Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := &Report{Requests: len(f.records), Violations: f.violations}
+	for _, e := range events {
+		r.Events = append(r.Events, e.String())
+	}
+	for _, one := range f.records {
+		if one.err == nil && one.answer.Status == http.StatusOK {
+			r.Served++
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,140 @@
+package soak_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/soak"
+	"github.com/banyancross/banyancross/standin"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
+	RunSpecs(t, "soak")
+}
+
+var _ = Describe("a plan", func() {
+	It("is the same for the same seed", func() {
+		Expect(soak.Draw(7, 5, 12*time.Second)).To(Equal(soak.Draw(7, 5, 12*time.Second)))
+		Expect(soak.Draw(7, 5, 12*time.Second)).NotTo(Equal(soak.Draw(8, 5, 12*time.Second)))
+	})
+})
+
+var _ = Describe("the checks", func() {
+	start := time.Now().Add(-time.Minute)
+	var upstream *standin.Backend
+	BeforeEach(func() {
+		var err error
+		upstream, err = standin.NewBackend("i-1", "stock", "z1", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(upstream.Close)
+	})
+	// runs makes the upstream run a request.
+	runs := func(id string) {
+		GinkgoHelper()
+		request, err := http.NewRequest(http.MethodPost, "http://"+upstream.Address()+"/", bytes.NewBufferString("body of "+id))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Request-Id", id)
+		request.Header.Set("Expect-Instance", "i-1")
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+	}
+	own := func(id string) standin.CallerAnswer {
+		return standin.CallerAnswer{Status: http.StatusOK, ID: id, Stamped: true, Body: "i-1 body of " + id}
+	}
+	status := func(id string, code int) standin.CallerAnswer { return standin.CallerAnswer{Status: code, ID: id} }
+
+	It("find nothing where all is well", func() {
+		runs("a")
+		Expect(soak.Check([]soak.Seen{
+			{ID: "a", Once: true, Answer: own("a")},
+			{ID: "b", Once: true, Answer: status("b", http.StatusServiceUnavailable)},
+			{ID: "c", Err: io.EOF, Sent: 10 * time.Second, Took: 50 * time.Millisecond},
+		}, upstream, start, 0)).To(BeEmpty())
+	})
+
+	DescribeTable("find",
+		func(ran int, seen soak.Seen, left time.Duration, want string) {
+			for range ran {
+				runs("a")
+			}
+			seen.ID = "a"
+			Expect(soak.Check([]soak.Seen{seen}, upstream, start, left)).To(ContainElement(ContainSubstring(want)))
+		},
+		Entry("a payment that ran twice", 2, soak.Seen{Once: true, Answer: own("a")}, time.Duration(0), "ran 2 times"),
+		Entry("an untrue refusal", 1, soak.Seen{Once: true, Answer: status("a", http.StatusServiceUnavailable)}, time.Duration(0), "was refused"),
+		Entry("another request's answer", 1, soak.Seen{Answer: own("b")}, time.Duration(0), `answer to "b"`),
+		Entry("a success that nothing ran", 0, soak.Seen{Answer: own("a")}, time.Duration(0), "none of its 0 runs"),
+		Entry("a part of an answer", 1, soak.Seen{Answer: standin.CallerAnswer{Status: 200, ID: "a", Stamped: true, Body: "i-1 body"}},
+			time.Duration(0), "none of its 1 runs"),
+		Entry("an unsigned success", 1, soak.Seen{Answer: standin.CallerAnswer{Status: 200, ID: "a", Body: "i-1 body of a"}},
+			time.Duration(0), "no upstream signed"),
+		Entry("a denial", 0, soak.Seen{Answer: status("a", http.StatusNotFound)}, time.Duration(0), "was denied"),
+		Entry("work after a leave", 1, soak.Seen{Answer: own("a")}, time.Second, "after its leaving"),
+		Entry("a loss at planned work", 1, soak.Seen{Err: errors.New("reset"), Sent: 10 * time.Second, Took: time.Second},
+			time.Duration(0), "was lost"),
+		Entry("a configuration that is not known in time", 0,
+			soak.Seen{Version: 3, Answer: status("a", http.StatusNotFound), Sent: 10 * time.Second}, time.Duration(0), "did not know version 3"),
+	)
+
+	It("find a run that nobody asked for, and a process that goes back", func() {
+		runs("a")
+		runs("b")
+		found := soak.Check([]soak.Seen{
+			{ID: "a", Version: 2, Answer: own("a"), Sent: time.Second},
+			{ID: "c", Version: 1, Answer: own("c"), Sent: 2 * time.Second},
+		}, upstream, start, 0)
+		Expect(found).To(ContainElement(ContainSubstring("b ran and nobody sent it")))
+		Expect(found).To(ContainElement(ContainSubstring("served version 1 after a had been served version 2")))
+	})
+})
+
+var _ = Describe("a forwarder", func() {
+	It("passes, drops one way, and resets", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			if conn, err := listener.Accept(); err == nil {
+				accepted <- conn
+			}
+		}()
+		f, err := soak.NewForwarder("127.0.0.1:0", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(f.Close)
+		near, err := net.Dial("tcp", f.Address())
+		Expect(err).NotTo(HaveOccurred())
+		far := <-accepted
+		buffer := make([]byte, 8)
+
+		_, err = near.Write([]byte("there"))
+		Expect(err).NotTo(HaveOccurred())
+		n, err := far.Read(buffer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(buffer[:n])).To(Equal("there"))
+
+		f.Set(soak.Deaf)
+		_, err = far.Write([]byte("lost"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = near.Write([]byte("still"))
+		Expect(err).NotTo(HaveOccurred())
+		n, err = far.Read(buffer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(buffer[:n])).To(Equal("still"))
+
+		f.Reset()
+		_, err = near.Read(buffer)
+		Expect(err).To(HaveOccurred(), "nothing came back")
+	})
+})
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -53,6 +53,8 @@
 	born     time.Time
 	server   *http.Server
 	address  string
+	// announced is the address that heartbeats name.
+	announced string
 
 	mu       sync.Mutex
 	faults   []Fault
@@ -73,7 +75,8 @@
 	}
 	b := &Backend{
 		instance: instance, service: service, zone: zone, born: time.Now(), address: listener.Addr().String(),
-		state: "ready", slowdown: 100,
+		announced: listener.Addr().String(),
+		state:     "ready", slowdown: 100,
 	}
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
 	go func() { _ = b.server.Serve(listener) }()
@@ -83,9 +86,20 @@
 // Close ends the Backend at once.
 func (b *Backend) Close() { _ = b.server.Close() }
 
+// Instance returns the identity of the Backend.
+func (b *Backend) Instance() string { return b.instance }
+
 // Address returns where it listens.
 func (b *Backend) Address() string { return b.address }
 
+// Announce makes heartbeats name another address, that of what forwards to the
+// Backend.
+func (b *Backend) Announce(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.announced = address
+}
+
 // Fail treats the next requests badly, one by each fault.
 func (b *Backend) Fail(faults ...Fault) {
 	b.mu.Lock()
@@ -141,8 +155,11 @@
 
 // Report sends a heartbeat of any sequence, as one that was delayed has.
 func (b *Backend) Report(ctx context.Context, control, state string, sequence uint64) (int, error) {
+	b.mu.Lock()
+	announced := b.announced
+	b.mu.Unlock()
 	document, err := json.Marshal(map[string]any{
-		"addr": b.address, "born": b.born.UnixMilli(),
+		"addr": announced, "born": b.born.UnixMilli(),
 		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": 10},
 		"status": map[string]any{"state": state, "seq": sequence, "cold_left_ms": 0},
 	})
