sidecar: large configurations come from the store

Cause: that configuration has over 200 KB, and links there have 10 Mbit/s. Since eight nodes watch, all others fetch it from them at once, each fetch ends after 0.5 s, and begins again.

Change: a node hands out at most 64 KiB; beyond that, and when the node does not answer, the store is read, and when the store does not answer either, the node is asked for the whole with more time. The test of both ways fails without the change.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -8,7 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
 
+	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/platform"
 )
@@ -40,8 +42,17 @@
 	// maxStoreRetry the longest.
 	storeRetry    = 150 * time.Millisecond
 	maxStoreRetry = time.Second
-	// fetchTimeout bounds the fetch of a configuration from another node.
+	// wholePath is the same for a node that the store does not answer.
+	wholePath = configurationPath + "?whole"
+	// handedOver is the largest configuration that a node hands to others that
+	// can read the store, in bytes. A larger one would hold up the calls on a slow
+	// link when a whole fleet asks for it: at 10 Mbit/s this much takes 50 ms.
+	handedOver = 64 << 10
+	// fetchTimeout bounds the fetch of a configuration from another node, and
+	// wholeTimeout that of one of any size: the largest value of the store takes
+	// about a second at 10 Mbit/s.
 	fetchTimeout = 500 * time.Millisecond
+	wholeTimeout = 3 * time.Second
 	// maxConfiguration bounds a configuration, in bytes: the largest value of
 	// the store.
 	maxConfiguration = platform.MaxValue
@@ -186,30 +197,67 @@
 	s.announce()
 }
 
-// fetchConfigurations asks nodes that have a newer configuration for it.
+// fetchConfigurations gets newer configurations that other nodes have.
 func (s *Sidecar) fetchConfigurations() error {
 	for {
 		select {
 		case <-s.tomb.Dying():
 			return nil
 		case peer := <-s.fetches:
-			if table := s.table.Load(); table != nil && table.Revision() >= peer.Beacon().Revision {
-				continue
-			}
-			ctx, cancel := context.WithTimeout(s.context(), fetchTimeout)
-			response, err := s.hops.pool(peer.Beacon()).Do(ctx, &http1.Outgoing{
-				Method: http.MethodGet, Target: configurationPath, Host: peer.Beacon().Calls, Header: http.Header{},
-			})
-			if err == nil {
-				data, whole, _ := response.Body.Buffer(maxConfiguration)
-				response.Finish()
-				if whole && response.Status == http.StatusOK {
-					s.adopt(data, peer.Beacon().Host)
-				}
-			} else {
-				_ = level.Warn(s.logger).Log("event", "fetch-failed", "node", peer.Beacon().Host, "err", err)
-			}
-			cancel()
+			s.catchUp(peer)
 		}
 	}
 }
+
+// catchUp gets the configuration that a node has from there, or from the store
+// when it is large or the node does not answer.
+func (s *Sidecar) catchUp(peer fleet.Peer) {
+	behind := func() bool {
+		table := s.table.Load()
+		return s.tomb.Alive() && (table == nil || table.Revision() < peer.Beacon().Revision)
+	}
+	if !behind() {
+		return
+	}
+	if err := s.fetch(peer, configurationPath, fetchTimeout); err != nil {
+		_ = level.Info(s.logger).Log("event", "fetch-elsewhere", "node", peer.Beacon().Host, "err", err)
+	}
+	if !behind() {
+		return
+	}
+	entry, err := s.store.Get(s.context(), platform.ConfigurationKey)
+	if err == nil && len(entry.Value()) > 0 {
+		s.adopt(entry.Value(), "store")
+	}
+	if !behind() {
+		return
+	}
+	if err != nil {
+		_ = level.Warn(s.logger).Log("event", "read-failed", "key", platform.ConfigurationKey, "err", err)
+	}
+	if err := s.fetch(peer, wholePath, wholeTimeout); err != nil && s.tomb.Alive() {
+		_ = level.Warn(s.logger).Log("event", "fetch-failed", "node", peer.Beacon().Host, "err", err)
+	}
+}
+
+// fetch asks a node for its configuration.
+func (s *Sidecar) fetch(peer fleet.Peer, path string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(s.context(), timeout)
+	defer cancel()
+	response, err := s.hops.pool(peer.Beacon()).Do(ctx, &http1.Outgoing{
+		Method: http.MethodGet, Target: path, Host: peer.Beacon().Calls, Header: http.Header{},
+	})
+	if err != nil {
+		return err
+	}
+	defer response.Finish()
+	data, whole, err := response.Body.Buffer(maxConfiguration)
+	switch {
+	case err != nil:
+		return err
+	case !whole || response.Status != http.StatusOK:
+		return eris.Errorf("status %d, whole %t", response.Status, whole)
+	}
+	s.adopt(data, peer.Beacon().Host)
+	return nil
+}
--- a/sidecar/handlers.go
+++ b/sidecar/handlers.go
@@ -36,16 +36,19 @@
 
 // Serve implements http1.Handler.
 func (h *nodeHandler) Serve(ctx context.Context, r *http1.Request, reply *http1.Reply) {
-	if r.Target != configurationPath {
+	if r.Target != configurationPath && r.Target != wholePath {
 		h.gate.Serve(ctx, r, reply)
 		return
 	}
 	raw := h.sidecar.raw.Load()
-	if raw == nil {
+	switch {
+	case raw == nil:
 		_ = reply.Send(http.StatusNotFound, http.Header{}, nil)
-		return
+	case len(*raw) > handedOver && r.Target != wholePath:
+		_ = reply.Send(http.StatusRequestEntityTooLarge, http.Header{}, nil)
+	default:
+		_ = reply.Send(http.StatusOK, http.Header{}, *raw)
 	}
-	_ = reply.Send(http.StatusOK, http.Header{}, *raw)
 }
 
 // upstreamHandler takes the heartbeats of the upstream on this host.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -33,6 +33,7 @@
 // Store is the platform's key-value service.
 type Store interface {
 	List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error)
+	Get(ctx context.Context, key string) (platform.Entry, error)
 	WatchFor(ctx context.Context, key string, last platform.Entry, wait time.Duration) (platform.Entry, error)
 	Set(ctx context.Context, key string, value []byte) error
 	PutLeased(ctx context.Context, key string, value []byte, lease uint64) error
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -126,7 +126,7 @@
 
 func (h *host) start(options ...sidecar.Option) {
 	GinkgoHelper()
-	s, err := sidecar.New(h.conf, append(options, sidecar.WithLogger(log.NewJSONLogger(GinkgoWriter)))...)
+	s, err := sidecar.New(h.conf, append([]sidecar.Option{sidecar.WithLogger(log.NewJSONLogger(GinkgoWriter))}, options...)...)
 	Expect(err).NotTo(HaveOccurred())
 	h.sidecar = s
 	DeferCleanup(s.Kill)
--- a/sidecar/watch_test.go
+++ b/sidecar/watch_test.go
@@ -1,12 +1,19 @@
 package sidecar_test
 
 import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/clock"
+	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/sidecar"
 )
 
@@ -77,4 +84,60 @@
 		b.beat("ready")
 		w.knows(a, b)
 	})
+
+	DescribeTable("hands out a large configuration in place of the nodes, whose links may be slow, if it answers",
+		func(deaf func(*platform.Client) sidecar.Store, source string) {
+			w := newWorld()
+			w.publish(1)
+			a := w.add()
+			logs := &locked{w: &bytes.Buffer{}}
+			store := deaf(platform.NewClient(strings.TrimPrefix(w.server.URL, "http://")))
+			b := w.add(sidecar.WithStore(store), sidecar.WithLogger(log.NewJSONLogger(logs)))
+			Eventually(a.metricsRevision).Should(Equal("1"))
+			Eventually(b.metricsRevision).Should(Equal("1"))
+			w.publishLarge(5)
+			Eventually(b.metricsRevision).Should(Equal("5"))
+			Eventually(logs.text).Should(MatchRegexp(`"event":"configuration","host":"stock-2","level":"info","revision":5,"source":"` + source + `"`))
+		},
+		Entry("it answers reads", func(c *platform.Client) sidecar.Store { return &deafStore{Client: c} }, "store"),
+		Entry("it answers nothing", func(c *platform.Client) sidecar.Store { return &muteStore{deafStore{Client: c}} }, "stock-1"),
+	)
 })
+
+// muteStore answers no watch and no read of a key.
+type muteStore struct {
+	deafStore
+}
+
+func (s *muteStore) Get(context.Context, string) (platform.Entry, error) {
+	return platform.Entry{}, platform.NewError("get", platform.KindUnavailable, "", nil)
+}
+
+// locked is a buffer for several goroutines.
+type locked struct {
+	mu sync.Mutex
+	w  *bytes.Buffer
+}
+
+func (l *locked) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(data)
+}
+
+func (l *locked) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.String()
+}
+
+// publishLarge publishes a configuration of many routes.
+func (w *world) publishLarge(version int) {
+	text := fmt.Sprintf(configuration, version)
+	const one = `{"type_url":"routes","metadata":{"name":"extra-%d"},"spec":{"host":"x","prefix":"/extra-%d/","type":"safe","timeout_ms":20000,"goal_ms":10000,"priority":2,"attempts":2,"service":"stock"}},`
+	var extra strings.Builder
+	for i := range 1700 {
+		_, _ = fmt.Fprintf(&extra, one, i, i)
+	}
+	w.store.Store("op/config", []byte(strings.Replace(text, `"resources":[`, `"resources":[`+extra.String(), 1)))
+}
