--- a/cmd/banyancross/soak.go
+++ b/cmd/banyancross/soak.go
@@ -69,8 +69,8 @@
 	if len(report.Violations) > 0 {
 		verdict = "FAILED"
 	}
-	_, _ = fmt.Fprintf(c.out, "seed %d: %s, %d disturbances, %d requests, %d served\n",
-		seed, verdict, len(report.Events), report.Requests, report.Served)
+	_, _ = fmt.Fprintf(c.out, "seed %d: %s, %d disturbances, %d requests, %d served, longest stall of the machine %s\n",
+		seed, verdict, len(report.Events), report.Requests, report.Served, report.Stall.Round(time.Millisecond))
 	if command.Events || len(report.Violations) > 0 {
 		for _, event := range report.Events {
 			_, _ = fmt.Fprintln(c.out, "  ", event)
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"syscall"
 	"time"
 
@@ -111,10 +112,21 @@
 	}
 }
 
+// restart starts the process, and waits until it listens: its start belongs to
+// the disturbance.
 func (f *fleet) restart(n *node) {
 	if err := n.start(); err != nil {
 		f.violate("%s: %v", n.name, err)
+		return
+	}
+	for began := time.Now(); time.Since(began) < readyWithin; time.Sleep(lookPause) {
+		conn, err := net.DialTimeout("tcp", n.callers, lookPause)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
 	}
+	f.violate("%s did not listen %s after its start", n.name, readyWithin)
 }
 
 // move replaces the upstream of a node, unless that happens already.
--- a/soak/run.go
+++ b/soak/run.go
@@ -41,6 +41,9 @@
 
 // Report is what came of a run.
 type Report struct {
+	// Stall is the longest time for which the machine kept the soak itself
+	// waiting; what has a bound in time means little when it is long.
+	Stall      time.Duration
 	Events     []string
 	Requests   int
 	Served     int
@@ -59,6 +62,7 @@
 	harmed     time.Time
 	records    []record
 	violations []string
+	stall      time.Duration
 }
 
 // Run plays one run.
@@ -99,6 +103,7 @@
 func (f *fleet) play(ctx context.Context) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go f.watchStalls(ctx)
 	f.publish()
 	for _, n := range f.nodes {
 		if err := n.start(); err != nil {
@@ -172,10 +177,22 @@
 	return true
 }
 
+// watchStalls measures how long the machine keeps this process waiting.
+func (f *fleet) watchStalls(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		sleep(ctx, lookPause)
+		late := time.Since(began) - lookPause
+		f.mu.Lock()
+		f.stall = max(f.stall, late)
+		f.mu.Unlock()
+	}
+}
+
 func (f *fleet) report(events []event) *Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := &Report{Requests: len(f.records), Violations: f.violations}
+	r := &Report{Stall: f.stall, Requests: len(f.records), Violations: f.violations}
 	for _, e := range events {
 		r.Events = append(r.Events, e.String())
 	}
