--- a/soak/node.go
+++ b/soak/node.go
@@ -122,14 +122,16 @@
 	return n, nil
 }
 
-// addresses returns loopback addresses that nothing listens at. They are below
-// the ports that outgoing connections get.
+// addresses returns loopback addresses that nothing listens at. Each process that
+// runs a soak has an IP number of its own, so that others do not take them first,
+// and their ports are below those that outgoing connections get.
 func addresses(count int) ([]string, error) {
+	pid := os.Getpid()
 	var found []string
 	for len(found) < count {
 		portsMu.Lock()
 		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%ports)
+		address := fmt.Sprintf("127.%d.%d.%d:%d", 64+(pid>>16)%64, pid>>8&0xff, max(pid&0xff, 1), firstPort+nextPort%ports)
 		portsMu.Unlock()
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
@@ -151,7 +153,7 @@
 
 var (
 	portsMu  sync.Mutex
-	nextPort = os.Getpid() % ports
+	nextPort int
 )
 
 // addServer puts a new upstream beside the node.
