--- a/soak/check.go
+++ b/soak/check.go
@@ -10,8 +10,6 @@
 	// lossSlack is how long after its sending a request may still meet the close
 	// of its connection.
 	lossSlack = 200 * time.Millisecond
-	// stopDoors is how long after the word of a stop callers have noticed it.
-	stopDoors = 2 * time.Second
 	// inForce is how long after its storing a configuration may not be known.
 	inForce = 2 * time.Second
 	// maxShown bounds the violations that are listed.
