cmd/banyancross: a script that kills a process waits for its end

Trace: the sidecar that was started right after SIGKILL of its predecessor ended with 'listen udp ... address already in use', since the killed process still had its addresses. The script's step now ends when the process has; what is checked is unchanged.

--- a/cmd/banyancross/script_test.go
+++ b/cmd/banyancross/script_test.go
@@ -165,6 +165,10 @@
 	ts.Check(err)
 	process := ts.BackgroundCmds()[number-1].Process
 	ts.Check(process.Signal(signals[args[1]]))
+	if args[1] == "KILL" {
+		// Its addresses are free only once it has ended.
+		wait(ts, "process "+args[0]+" has ended", func() bool { return process.Signal(syscall.Signal(0)) != nil })
+	}
 	if args[1] == "STOP" {
 		// A script that fails meanwhile must not wait for a process that stands
 		// still.
