telemetry, standin, soak: one reader of logs, one text of a host's settings, less state in the soak

explain and losses read logs with a loop of their own each, and the soak, the tests of sidecar and the scripts each had the settings of a host as text; one piece serves them now. The soak kept what it could derive (the latest version, whether a process stops) or never read (when a node was harmed, its ready address).

--- a/cmd/banyancross/explain.go
+++ b/cmd/banyancross/explain.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"os"
 	"sort"
 	"strings"
 
@@ -17,9 +15,6 @@
 	Files   []string `arg:"" type:"existingfile" help:"The nodes' logs."`
 }
 
-// maxLogLine bounds a line of a log, in bytes.
-const maxLogLine = 1 << 20
-
 // logLine is a line about the request.
 type logLine struct {
 	time, host, text string
@@ -48,31 +43,22 @@
 }
 
 func (command *explainCommand) read(name string) ([]logLine, error) {
-	file, err := os.Open(name)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = file.Close() }()
 	var lines []logLine
-	scanner := bufio.NewScanner(file)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		if line, ok := command.match(scanner.Text()); ok {
+	err := telemetry.ReadLines(name, func(object string) {
+		if line, ok := command.match(object); ok {
 			lines = append(lines, line)
 		}
-	}
-	return lines, scanner.Err()
+	})
+	return lines, err
 }
 
-// match reads a line that is about the request or a call that its run made. A
-// log collector may have put something before the JSON object.
-func (command *explainCommand) match(text string) (logLine, bool) {
-	at := strings.IndexByte(text, '{')
-	if at < 0 || !strings.Contains(text, command.Request) {
+// match reads a line that is about the request or a call that its run made.
+func (command *explainCommand) match(object string) (logLine, bool) {
+	if !strings.Contains(object, command.Request) {
 		return logLine{}, false
 	}
 	var fields map[string]any
-	if json.Unmarshal([]byte(text[at:]), &fields) != nil {
+	if json.Unmarshal([]byte(object), &fields) != nil {
 		return logLine{}, false
 	}
 	id, _ := fields["request"].(string)
@@ -82,7 +68,7 @@
 	var trail struct {
 		Steps telemetry.Trail `json:"trail"`
 	}
-	if json.Unmarshal([]byte(text[at:]), &trail) == nil && len(trail.Steps) > 0 {
+	if json.Unmarshal([]byte(object), &trail) == nil && len(trail.Steps) > 0 {
 		fields["trail"] = trail.Steps.Text()
 	}
 	line := logLine{time: fmt.Sprint(fields["time"]), host: fmt.Sprint(fields["host"])}
--- a/cmd/banyancross/sidecar_script_test.go
+++ b/cmd/banyancross/sidecar_script_test.go
@@ -18,31 +18,12 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/standin"
 )
 
 // scripts counts the scripts.
 var scripts atomic.Int64
 
-const hostSettings = `host = "h%d"
-failure-domain = "z1"
-service = "stock"
-platform = "%s"
-backend = "%s"
-[listen]
-callers = "%s"
-nodes = "%s"
-datagrams = "%s"
-ready = "%s"
-upstream = "%s"
-metrics = "%s"
-[bounds]
-retry-ratio = 0.2
-retry-slack = 60
-retry-window = "10s"
-grace = "6s"
-memory-mb = 284
-`
-
 // setHosts writes h1.toml and so on, the settings of sidecars, and sets STORE,
 // H1 (callers), B1 (backend server), U1 (heartbeats), R1 (ready) and M1
 // (metrics), and so on.
@@ -71,7 +52,10 @@
 		for name, value := range map[string]string{"H": callers, "B": backend, "U": upstream, "R": ready, "M": metrics} {
 			env.Setenv(name+strconv.Itoa(i), value)
 		}
-		text := fmt.Sprintf(hostSettings, i, store, backend, callers, nodes, datagrams, ready, upstream, metrics)
+		text := standin.Host{
+			Name: fmt.Sprintf("h%d", i), FailureDomain: "z1", Service: "stock", Platform: store, Backend: backend,
+			Callers: callers, Nodes: nodes, Datagrams: datagrams, Ready: ready, Upstream: upstream, Metrics: metrics,
+		}.Settings()
 		if err := os.WriteFile(filepath.Join(env.WorkDir, fmt.Sprintf("h%d.toml", i)), []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -1,9 +1,7 @@
 package losses
 
 import (
-	"bufio"
 	"encoding/json"
-	"os"
 	"strings"
 
 	"github.com/banyancross/banyancross/telemetry"
@@ -25,8 +23,6 @@
 	// mainShare is the least share of a request's time that makes something the
 	// cause of its lateness: with four causes, what is below has an equal beside it.
 	mainShare = 0.25
-	// maxLogLine bounds a line of a log, in bytes.
-	maxLogLine = 1 << 20
 )
 
 // request is a line of a log about a request that a caller sent.
@@ -70,28 +66,15 @@
 	late, failed map[string]int
 }
 
-// readCauses reads a log of several nodes. A log collector may have put
-// something before each JSON object.
+// readCauses reads a log of several nodes.
 func readCauses(name string) (*causes, error) {
-	file, err := os.Open(name)
-	if err != nil {
-		return nil, &Error{op: "read", kind: KindFile, err: err}
-	}
-	defer func() { _ = file.Close() }()
 	found := &causes{late: map[string]int{}, failed: map[string]int{}}
-	scanner := bufio.NewScanner(file)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		text := scanner.Text()
-		at := strings.IndexByte(text, '{')
-		if at < 0 {
-			continue
-		}
+	err := telemetry.ReadLines(name, func(object string) {
 		var r request
-		if json.Unmarshal([]byte(text[at:]), &r) != nil || r.Event != "request" || strings.Contains(r.ID, ".") {
+		if json.Unmarshal([]byte(object), &r) != nil || r.Event != "request" || strings.Contains(r.ID, ".") {
 			// Not about a caller's request: calls of runs have a dot in their
 			// identity.
-			continue
+			return
 		}
 		switch r.Class {
 		case "late":
@@ -99,8 +82,8 @@
 		case "failed":
 			found.failed[r.failedCause()]++
 		}
-	}
-	if err := scanner.Err(); err != nil {
+	})
+	if err != nil {
 		return nil, &Error{op: "read", kind: KindFile, err: err}
 	}
 	return found, nil
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -95,27 +95,11 @@
 	backend, err := standin.NewBackend("i-"+name, "stock", "z1", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Close)
-	text := fmt.Sprintf(`
-host = %q
-failure-domain = "z1"
-service = "stock"
-platform = %q
-backend = %q
-[listen]
-callers = %q
-nodes = %q
-datagrams = %q
-ready = %q
-upstream = %q
-metrics = %q
-[bounds]
-retry-ratio = 0.2
-retry-slack = 60
-retry-window = "10s"
-grace = "6s"
-memory-mb = 284
-`, name, strings.TrimPrefix(w.server.URL, "http://"), backend.Address(), freeAddress(), freeAddress(), freeAddress(),
-		freeAddress(), freeAddress(), freeAddress())
+	text := standin.Host{
+		Name: name, FailureDomain: "z1", Service: "stock", Platform: strings.TrimPrefix(w.server.URL, "http://"),
+		Backend: backend.Address(), Callers: freeAddress(), Nodes: freeAddress(), Datagrams: freeAddress(),
+		Ready: freeAddress(), Upstream: freeAddress(), Metrics: freeAddress(),
+	}.Settings()
 	conf, err := settings.ParseSidecar("sidecar.toml", []byte(text))
 	Expect(err).NotTo(HaveOccurred())
 	h := &host{name: name, backend: backend, conf: conf}
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -96,9 +96,6 @@
 		sleep(ctx, restartPause)
 		f.restart(n)
 	case stop:
-		n.mu.Lock()
-		n.stopping = true
-		n.mu.Unlock()
 		began := time.Now()
 		exited := n.signal(syscall.SIGTERM)
 		select {
@@ -144,20 +141,18 @@
 func (f *fleet) publish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.version++
-	f.platform.StoreConfiguration(f.version, "stock", routeTimeout)
+	f.platform.StoreConfiguration(len(f.published)+1, "stock", routeTimeout)
 	f.published = append(f.published, time.Now())
 }
 
 // disturbed records that an event which was not planned harms the fleet now.
 func (f *fleet) disturbed(n *node, e event) {
 	now := time.Now()
-	n.mu.Lock()
-	n.harmed = now
 	if e.kind == serverDelayed || e.kind == serverDeaf || e.kind == serverReset || e.kind == pause {
+		n.mu.Lock()
 		n.linked = now
+		n.mu.Unlock()
 	}
-	n.mu.Unlock()
 	f.mu.Lock()
 	f.harmed = now
 	f.mu.Unlock()
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -23,9 +23,9 @@
 
 // record is what a caller saw of one request.
 type record struct {
-	id, path       string
-	node, life     int
-	once, stopping bool
+	id, path     string
+	node, life   int
+	once, ending bool
 	// same tells that no other process of the node was started meanwhile.
 	same        bool
 	sent, ended time.Time
@@ -63,12 +63,12 @@
 func (f *fleet) askable(rng *rand.Rand) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(1, f.version-rng.IntN(2))
+	return max(1, len(f.published)-rng.IntN(2))
 }
 
 // send sends one request and keeps what came of it.
 func (f *fleet) send(ctx context.Context, c *standin.Caller, n *node, r record) record {
-	r.life, r.stopping = n.life()
+	r.life, r.ending = n.life()
 	r.sent = time.Now()
 	// A request that is on its way is waited for also when the run ends.
 	one, cancel := context.WithTimeout(context.WithoutCancel(ctx), routeTimeout+patience)
--- a/soak/check.go
+++ b/soak/check.go
@@ -114,7 +114,7 @@
 		return
 	}
 	took := r.ended.Sub(r.sent)
-	if len(runs) == 0 && (took < lossSlack || r.stopping) {
+	if len(runs) == 0 && (took < lossSlack || r.ending) {
 		// It crossed the close of its connection, or found nobody.
 		return
 	}
--- a/soak/node.go
+++ b/soak/node.go
@@ -41,16 +41,15 @@
 	index                   int
 	name                    string
 	program, settings, logs string
-	callers, ready, control string
+	callers, control        string
 	calls, upstream, store  *Forwarder
 
-	mu       sync.Mutex
-	servers  []*server
-	state    string
-	process  *exec.Cmd
-	exited   chan struct{}
-	lives    int
-	stopping bool
+	mu      sync.Mutex
+	servers []*server
+	state   string
+	process *exec.Cmd
+	exited  chan struct{}
+	lives   int
 	// ending tells that the process was told to end.
 	ending bool
 	// violate takes what must not happen.
@@ -58,33 +57,10 @@
 	// busy is held while an event has the process, and moving while the upstream
 	// is replaced.
 	busy, moving sync.Mutex
-	// harmed is when the latest disturbance of the node that was not planned
-	// ended, and linked the same for the way to its upstream.
-	harmed, linked time.Time
+	// linked is when the latest disturbance of the way to its upstream ended.
+	linked time.Time
 }
 
-const settingsText = `host = %q
-failure-domain = "z%d"
-service = "stock"
-platform = %q
-backend = %q
-[listen]
-callers = %q
-nodes = %q
-datagrams = %q
-ready = %q
-upstream = %q
-metrics = %q
-[advertise]
-nodes = %q
-[bounds]
-retry-ratio = 0.2
-retry-slack = 60
-retry-window = "10s"
-grace = "6s"
-memory-mb = 284
-`
-
 // failureDomains is how many failure domains the nodes are spread over.
 const failureDomains = 3
 
@@ -99,7 +75,7 @@
 	if err != nil {
 		return nil, &Error{op: "listen", kind: KindSetup, err: err}
 	}
-	n.callers, n.ready, n.control = free[0], free[3], free[4]
+	n.callers, n.control = free[0], free[4]
 	first, err := n.addServer()
 	if err != nil {
 		return nil, err
@@ -114,9 +90,12 @@
 	if n.store, err = NewForwarder("127.0.0.1:0", store); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf(settingsText, n.name, index%failureDomains, n.store.Address(), n.upstream.Address(),
-		free[0], free[1], free[2], free[3], free[4], free[5], n.calls.Address())
-	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+	host := standin.Host{
+		Name: n.name, FailureDomain: fmt.Sprintf("z%d", index%failureDomains), Service: "stock",
+		Platform: n.store.Address(), Backend: n.upstream.Address(), Callers: free[0], Nodes: free[1], Datagrams: free[2],
+		Ready: free[3], Upstream: free[4], Metrics: free[5], Advertised: n.calls.Address(),
+	}
+	if err := os.WriteFile(n.settings, []byte(host.Settings()), 0o600); err != nil {
 		return nil, &Error{op: "settings", kind: KindSetup, err: err}
 	}
 	return n, nil
@@ -229,8 +208,7 @@
 		return &Error{op: "start", kind: KindSetup, err: err}
 	}
 	n.mu.Lock()
-	n.process, n.exited, n.stopping = command, make(chan struct{}), false
-	n.ending = false
+	n.process, n.exited, n.ending = command, make(chan struct{}), false
 	n.lives++
 	exited := n.exited
 	n.mu.Unlock()
@@ -259,11 +237,11 @@
 	return n.exited
 }
 
-// life tells which start of the process runs now, and whether it stops.
+// life tells which start of the process runs now, and whether it was told to end.
 func (n *node) life() (int, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.lives, n.stopping
+	return n.lives, n.ending
 }
 
 // close ends everything of the node.
--- a/soak/run.go
+++ b/soak/run.go
@@ -56,8 +56,8 @@
 	platform *standin.Platform
 	nodes    []*node
 
-	mu         sync.Mutex
-	version    int
+	mu sync.Mutex
+	// published is when each version of the configuration was stored.
 	published  []time.Time
 	harmed     time.Time
 	records    []record
--- /dev/null
+++ b/standin/host.go
@@ -0,0 +1,43 @@
+package standin
+
+import "fmt"
+
+// Host is what the settings of a sidecar say of its host.
+type Host struct {
+	Name, FailureDomain, Service               string
+	Platform, Backend                          string
+	Callers, Nodes, Datagrams, Ready, Upstream string
+	Metrics                                    string
+	// Advertised is where other nodes send their calls, empty for Nodes.
+	Advertised string
+}
+
+const hostSettings = `host = %q
+failure-domain = %q
+service = %q
+platform = %q
+backend = %q
+[listen]
+callers = %q
+nodes = %q
+datagrams = %q
+ready = %q
+upstream = %q
+metrics = %q
+[bounds]
+retry-ratio = 0.2
+retry-slack = 60
+retry-window = "10s"
+grace = "6s"
+memory-mb = 284
+`
+
+// Settings returns the settings of the host's sidecar.
+func (h Host) Settings() string {
+	text := fmt.Sprintf(hostSettings, h.Name, h.FailureDomain, h.Service, h.Platform, h.Backend,
+		h.Callers, h.Nodes, h.Datagrams, h.Ready, h.Upstream, h.Metrics)
+	if h.Advertised != "" {
+		text += fmt.Sprintf("[advertise]\nnodes = %q\n", h.Advertised)
+	}
+	return text
+}
