placement: weigh the bytes of a call, both ways, against the load nearby

The choice of an upstream counted only responses, at 90 KiB for a whole capacity, and only routes whose responses had a mean of 32 KiB stayed in their domain: not before the first response, and not when hedged.

Change: a call's request and response count together, 12 KiB for a capacity (setting placement.transfer-unit-bytes); another domain costs 0.6 of a capacity; a call whose transfer costs a whole capacity stays while slots are free nearby, from its first request on, and its hedge stays always; one that was declined nearby may return there to be queued. Entry nodes in other domains get every second beacon. The bytes that pass between domains are counted by kind (gauges, one log line each 10 s, a section of losses).

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -85,6 +85,7 @@
 	parentRun     func(id string) (egress.Run, bool)
 	host          string
 	blocklist     *quarantine.Blocklist
+	transferUnit  int64
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -124,6 +125,10 @@
 	return func(in *Ingress) { in.retryBudgets = newRetryBudgets(b, in.view) }
 }
 
+// WithTransferUnit sets the number of bytes whose transfer between failure domains
+// costs as much as the whole capacity of an upstream.
+func WithTransferUnit(bytes int64) Option { return func(in *Ingress) { in.transferUnit = bytes } }
+
 // WithSeed sets the seed of all random choices.
 func WithSeed(seed uint64) Option {
 	return func(in *Ingress) { in.rng = rand.New(rand.NewPCG(seed, seed)) }
@@ -136,7 +141,7 @@
 	in := &Ingress{
 		clock: clock.System{}, table: table, callerService: callerService, failureDomain: failureDomain,
 		view: view, sender: sender, observe: func(Observation) {}, meanTimes: map[string]time.Duration{}, meanSizes: map[string]int64{},
-		blocklist: quarantine.NewBlocklist(),
+		blocklist: quarantine.NewBlocklist(), transferUnit: routing.DefaultTransferUnit,
 		parentRun: func(string) (egress.Run, bool) { return egress.Run{}, false },
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -144,7 +149,7 @@
 	for _, option := range options {
 		option(in)
 	}
-	in.policy = routing.NewLeastCost(rand.New(rand.NewPCG(in.rng.Uint64(), in.rng.Uint64())))
+	in.policy = routing.NewLeastCost(rand.New(rand.NewPCG(in.rng.Uint64(), in.rng.Uint64())), routing.WithTransferUnit(in.transferUnit))
 	return in
 }
 
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -11,7 +11,6 @@
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/route"
-	"github.com/banyancross/banyancross/routing"
 )
 
 const (
@@ -43,11 +42,6 @@
 	// defaultObjective is the latency objective of a route that sets none. A user
 	// who waits for a page notices longer times.
 	defaultObjective = 500 * time.Millisecond
-	// longResponse is the mean response length, in bytes, from which a route
-	// prefers upstreams in its own failure domain. 90 KiB between domains cost
-	// about as much as a call is worth; a third of that is more than a slow host
-	// costs.
-	longResponse = 32 << 10
 	// minAttemptTime is the least remaining time for which another attempt is
 	// made: a round trip between failure domains.
 	minAttemptTime = 10 * time.Millisecond
@@ -70,9 +64,11 @@
 	depth int
 
 	results chan result
-	// tried holds the hosts that the request was sent to.
-	tried    map[string]bool
-	inFlight []*attempt
+	// tried holds the hosts that the request was sent to, and declinedLocal those
+	// of them in the own failure domain whose gate declined it.
+	tried         map[string]bool
+	declinedLocal map[string]bool
+	inFlight      []*attempt
 	// picks counts the upstreams chosen, and queuedPicks those of them whose gate
 	// may queue the request.
 	picks       int
@@ -108,7 +104,7 @@
 // sent again. It returns nil if no upstream answered.
 func (s *session) exchange(ctx context.Context) *result {
 	s.results = make(chan result, maxPicks+1)
-	s.tried = map[string]bool{}
+	s.tried, s.declinedLocal = map[string]bool{}, map[string]bool{}
 	hedge := s.hedgeTimer()
 	defer s.cancelAll()
 	if !s.launch(ctx, false) {
@@ -155,6 +151,9 @@
 			s.in.retryBudgets.refund(s.in.clock.Now(), s.service)
 		}
 		s.reason = meta.Reason
+		if r.attempt.declinable && meta.FromGate && s.local(r.attempt.peer) {
+			s.declinedLocal[r.attempt.peer.Beacon().Host] = true
+		}
 	case meta.Outcome == call.NotRun:
 		s.reason = meta.Reason
 	default:
@@ -241,35 +240,20 @@
 	if len(peers) == 0 || (hedge && peers[0].Beacon().Fanout > maxLeafFanout) {
 		return false
 	}
-	localPeers := s.localPeers(peers)
-	if len(localPeers) > 0 {
-		peers = localPeers
-	}
 	now := s.in.clock.Now()
 	charged := s.attempts > 0
-	if charged {
-		reserve := 0.0
-		if hedge {
-			reserve = hedgeReserveShare
-		}
-		fanout := peers[0].Beacon().Fanout
-		if !s.mayHaveRun() {
-			fanout = 0
-		}
-		if !s.in.retryBudgets.spend(now, s.service, fanout, reserve) {
-			return false
-		}
+	if charged && !s.spendRetry(now, peers[0].Beacon().Fanout, hedge) {
+		return false
 	}
-	peer := s.choose(now, peers)
+	peer, declinable := s.place(now, peers, hedge)
 	name := peer.Beacon().Host
-	// When no better upstream is left, queueing beats a refusal.
-	declinable := hedge || (len(localPeers) == 0 && s.picks < maxDeclinablePicks && len(peers) > 1 && !s.in.policy.Overloaded(now, policyKey(peer.Beacon())))
 	if !declinable {
 		s.queuedPicks++
 	}
 	s.picks++
 	s.attempts++
 	s.tried[name] = true
+	delete(s.declinedLocal, name)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a := &attempt{
 		peer: peer, cancel: cancel, started: now, hedge: hedge, declinable: declinable, charged: charged,
@@ -282,21 +266,17 @@
 	return true
 }
 
-// localPeers returns the upstreams in the own failure domain that have free
-// slots, if responses of the route are long: transferring those between domains
-// costs more than a slow host.
-func (s *session) localPeers(peers []fleet.Peer) []fleet.Peer {
-	if s.in.meanSize(s.route.Name) < longResponse {
-		return nil
+// spendRetry charges another attempt to the retry budget and reports whether it is
+// within the budget. fanout is that of the service's upstreams.
+func (s *session) spendRetry(now time.Time, fanout float32, hedge bool) bool {
+	reserve := 0.0
+	if hedge {
+		reserve = hedgeReserveShare
 	}
-	var localPeers []fleet.Peer
-	for _, peer := range peers {
-		b := peer.Beacon()
-		if b.FailureDomain == s.in.failureDomain && !peer.Silent() && !b.Load.Failing && b.Load.Running < b.Load.Limit {
-			localPeers = append(localPeers, peer)
-		}
+	if !s.mayHaveRun() {
+		fanout = 0
 	}
-	return localPeers
+	return s.in.retryBudgets.spend(now, s.service, fanout, reserve)
 }
 
 // mayHaveRun reports whether an attempt has run, may have run, or is in flight.
@@ -304,46 +284,6 @@
 	return s.outcomeUnknown || s.errorResult != nil || len(s.inFlight) > 0
 }
 
-// candidates returns the upstreams to choose from. When all have been tried, one
-// more attempt, which is not declinable, may go to any of them, since the cause of
-// a refusal may have passed.
-func (s *session) candidates(all []fleet.Peer, hedge bool) []fleet.Peer {
-	untried := make([]fleet.Peer, 0, len(all))
-	for _, peer := range all {
-		if !s.tried[peer.Beacon().Host] {
-			untried = append(untried, peer)
-		}
-	}
-	if len(untried) > 0 || hedge || s.picks > maxDeclinablePicks {
-		return untried
-	}
-	s.picks = maxDeclinablePicks
-	return all
-}
-
-func (s *session) choose(now time.Time, peers []fleet.Peer) fleet.Peer {
-	candidates := make([]routing.Candidate, len(peers))
-	for i, peer := range peers {
-		b := peer.Beacon()
-		candidates[i] = routing.NewCandidate(policyKey(b), b.Slots, 0, b.FailureDomain != s.in.failureDomain).
-			WithResponseSize(s.in.meanSize(s.route.Name))
-	}
-	return peers[s.in.policy.Choose(now, candidates)]
-}
-
-// minSlowdown returns the lowest slowdown that upstreams report, 0 if none does.
-// Gates compare with it: when all upstreams of a service are slow, for example
-// because all have just started, none of them declines calls as slow.
-func minSlowdown(peers []fleet.Peer) float32 {
-	lowest := float32(0)
-	for _, peer := range peers {
-		if slowdown := peer.Beacon().Load.Slowdown; slowdown >= 1 && (lowest == 0 || slowdown < lowest) {
-			lowest = slowdown
-		}
-	}
-	return lowest
-}
-
 // egressCall returns the request in the form that a Sender takes.
 func (s *session) egressCall() *egress.Call {
 	return &egress.Call{
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -63,15 +63,19 @@
 	return mainCause
 }
 
-// causes holds the counts of late and of failed requests by cause.
+// causes holds the counts of late and of failed requests by cause, and the
+// megabytes transferred between failure domains by kind.
 type causes struct {
 	late, failed map[string]int
+	transfers    map[string]float64
 }
 
 // readCauses reads a log of several nodes.
 func readCauses(name string) (*causes, error) {
 	found := &causes{late: map[string]int{}, failed: map[string]int{}}
+	transfers := newTransferTotals()
 	err := telemetry.ReadJSONLines(name, func(object string) {
+		transfers.addLine(object)
 		var r requestLine
 		if json.Unmarshal([]byte(object), &r) != nil || r.Event != "request" || strings.Contains(r.ID, ".") {
 			// Skip nested calls, which backend servers make for a request: their
@@ -88,6 +92,7 @@
 	if err != nil {
 		return nil, &Error{op: "read", kind: KindFile, err: err}
 	}
+	found.transfers = transfers.megabytes()
 	return found, nil
 }
 
--- a/losses/doc.go
+++ b/losses/doc.go
@@ -6,7 +6,8 @@
 //
 // The bench's report of a day holds its worth, the loss by part of the score and
 // by price, and how many requests of each class were late, refused or failed. The
-// nodes' logs hold the attempts of single requests. The package reads both and
+// nodes' logs hold the attempts of single requests, and what was transferred
+// between failure domains. The package reads both and
 // compares several days in one table, whose sections list the largest losses
 // first:
 //
--- a/losses/table.go
+++ b/losses/table.go
@@ -110,6 +110,7 @@
 	outcomes := newSection("of the requests of a kind")
 	late := newSection("late, by cause, of the logged ones")
 	failed := newSection("not served, by reason, of the logged ones")
+	transfers := newSection("megabytes between failure domains")
 	for _, d := range days {
 		for _, p := range d.report.Parts {
 			parts.add(p.name, d.name, p.weight*(1-p.earned))
@@ -126,9 +127,12 @@
 		if d.causes != nil {
 			addShares(late, d.name, d.causes.late)
 			addShares(failed, d.name, d.causes.failed)
+			for name, megabytes := range d.causes.transfers {
+				transfers.add(name, d.name, megabytes)
+			}
 		}
 	}
-	return []*section{parts, prices, outcomes, late, failed}
+	return []*section{parts, prices, outcomes, late, failed, transfers}
 }
 
 // addShares adds counts as shares of their sum.
--- a/route/table.go
+++ b/route/table.go
@@ -21,6 +21,8 @@
 	Prefix string
 	// Idempotent is set if a request may run more than once.
 	Idempotent bool
+	// LongResponses is set if most responses are long.
+	LongResponses bool
 	// Timeout is the longest time until a request is answered, zero for no bound.
 	Timeout time.Duration
 	// Objective is the latency objective.
--- a/routing/least_cost.go
+++ b/routing/least_cost.go
@@ -16,14 +16,13 @@
 	// work on a shared host changes within that time.
 	slowdownLifetime = 150 * time.Millisecond
 	// remoteCost is the cost of another failure domain, in shares of an upstream's
-	// capacity: two more link delays each way are about a quarter of a short run.
-	remoteCost = 0.25
-	// bytesPerCapacity is the number of bytes whose transfer from another failure
-	// domain costs as much as the whole capacity of an upstream: their link charge
-	// is close to the value of a call.
-	bytesPerCapacity = 90 << 10
-	// maxTransferCost bounds the cost of a large response, so that a remote
-	// upstream still costs less than a failing one.
+	// capacity. A call gains nothing from an upstream that is merely less busy, as
+	// long as the nearer one answers within the latency objective.
+	remoteCost = 0.6
+	// DefaultTransferUnit is the default of WithTransferUnit.
+	DefaultTransferUnit = 12 << 10
+	// maxTransferCost bounds the cost of a long transfer, so that a remote upstream
+	// still costs less than a failing one.
 	maxTransferCost = 2
 	// overloadLifetime is how long a report is valid for Overloaded.
 	overloadLifetime = 100 * time.Millisecond
@@ -50,11 +49,20 @@
 // LeastCost chooses the upstream with the least cost, which combines its reported
 // load, this node's calls in flight, slowdown, failures and distance.
 type LeastCost struct {
+	transferUnit int64
+
 	mu        sync.Mutex
 	rng       *rand.Rand
 	upstreams map[string]*upstreamState
 }
 
+// Option configures a LeastCost.
+type Option func(*LeastCost)
+
+// WithTransferUnit sets the number of bytes whose transfer between failure domains
+// costs as much as the whole capacity of an upstream.
+func WithTransferUnit(bytes int64) Option { return func(p *LeastCost) { p.transferUnit = bytes } }
+
 // upstreamState is the load and the failures of one upstream.
 type upstreamState struct {
 	inFlight   int
@@ -67,8 +75,18 @@
 var _ Policy = (*LeastCost)(nil)
 
 // NewLeastCost returns a LeastCost that draws its jitter from rng.
-func NewLeastCost(rng *rand.Rand) *LeastCost {
-	return &LeastCost{rng: rng, upstreams: map[string]*upstreamState{}}
+func NewLeastCost(rng *rand.Rand, options ...Option) *LeastCost {
+	p := &LeastCost{rng: rng, transferUnit: DefaultTransferUnit, upstreams: map[string]*upstreamState{}}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// TransferCost returns the cost of transferring bytes between failure domains, in
+// shares of an upstream's capacity.
+func (p *LeastCost) TransferCost(bytes int64) float64 {
+	return min(float64(bytes)/float64(p.transferUnit), maxTransferCost)
 }
 
 // Choose implements Policy.
@@ -90,7 +108,7 @@
 func (p *LeastCost) cost(now time.Time, candidate Candidate) float64 {
 	cost := 0.0
 	if candidate.remote {
-		cost += remoteCost + min(float64(candidate.responseBytes)/bytesPerCapacity, maxTransferCost)
+		cost += remoteCost + p.TransferCost(candidate.transferBytes)
 	}
 	u := p.upstreams[candidate.name]
 	if u == nil {
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -12,7 +12,7 @@
 	slots         int
 	rtt           time.Duration
 	remote        bool
-	responseBytes int64
+	transferBytes int64
 }
 
 // NewCandidate describes an upstream; rtt is the round-trip time to it, and
@@ -21,10 +21,10 @@
 	return Candidate{name: name, slots: slots, rtt: rtt, remote: remote}
 }
 
-// WithResponseSize returns the candidate for a call whose answer has about that
-// many bytes.
-func (c Candidate) WithResponseSize(responseBytes int64) Candidate {
-	c.responseBytes = responseBytes
+// WithTransferBytes returns the candidate for a call whose request and response
+// have about that many bytes together.
+func (c Candidate) WithTransferBytes(bytes int64) Candidate {
+	c.transferBytes = bytes
 	return c
 }
 
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -4,6 +4,7 @@
 	"os"
 	"time"
 
+	"github.com/banyancross/banyancross/routing"
 	"github.com/banyancross/banyancross/toml"
 )
 
@@ -28,6 +29,7 @@
 	retryWindow           time.Duration
 	gracePeriod           time.Duration
 	memoryLimitMB         int
+	transferUnit          int64
 }
 
 // Host returns the name of the host.
@@ -87,6 +89,10 @@
 // MemoryLimitMB returns the limit of the process's memory in megabytes.
 func (s *Sidecar) MemoryLimitMB() int { return s.memoryLimitMB }
 
+// TransferUnit returns the number of bytes whose transfer between failure domains
+// costs as much as the whole capacity of an upstream.
+func (s *Sidecar) TransferUnit() int64 { return s.transferUnit }
+
 // sidecarDocument is the TOML form of Sidecar.
 type sidecarDocument struct {
 	Host          string        `toml:"host"`
@@ -99,6 +105,11 @@
 	Bounds        sidecarBounds `toml:"bounds"`
 	// Advertise holds addresses that other nodes use in place of those in Listen.
 	Advertise sidecarAdvertise `toml:"advertise"`
+	Placement sidecarPlacement `toml:"placement"`
+}
+
+type sidecarPlacement struct {
+	TransferUnitBytes int64 `toml:"transfer-unit-bytes"`
 }
 
 type sidecarAdvertise struct {
@@ -134,7 +145,7 @@
 // ParseSidecar decodes and checks the settings in data; name is the file name in
 // errors.
 func ParseSidecar(name string, data []byte) (*Sidecar, error) {
-	doc := sidecarDocument{LogLevel: "info"}
+	doc := sidecarDocument{LogLevel: "info", Placement: sidecarPlacement{TransferUnitBytes: routing.DefaultTransferUnit}}
 	if err := toml.Decode(name, data, &doc); err != nil {
 		return nil, err
 	}
@@ -157,6 +168,7 @@
 		retryWindow:      c.duration(doc.Bounds.RetryWindow, "bounds", "retry-window"),
 		gracePeriod:      c.duration(doc.Bounds.Grace, "bounds", "grace"),
 		memoryLimitMB:    int(c.positive(float64(doc.Bounds.MemoryMB), "bounds", "memory-mb")),
+		transferUnit:     int64(c.positive(float64(doc.Placement.TransferUnitBytes), "placement", "transfer-unit-bytes")),
 	}
 	s.advertisedNodeAddress = s.nodeAddress
 	if doc.Advertise.Nodes != "" {
--- a/settings/sidecar_test.go
+++ b/settings/sidecar_test.go
@@ -42,10 +42,21 @@
 	g.Expect(err).To(MatchError(ContainSubstring(`s.toml:20: invalid value: key "advertise.nodes"`)))
 }
 
+func TestTransferUnitHasADefault(t *testing.T) {
+	g := NewWithT(t)
+	s, err := settings.ParseSidecar("s.toml", []byte(sidecarSettings))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.TransferUnit()).To(Equal(int64(12288)))
+	s, err = settings.ParseSidecar("s.toml", []byte(sidecarSettings+"[placement]\ntransfer-unit-bytes = 4096\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.TransferUnit()).To(Equal(int64(4096)))
+}
+
 func TestInvalidSidecarSettingsAreReportedWithKeyAndLine(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
 		{`retry-ratio = 0.2`, `retry-ratio = 0`, `s.toml:14: invalid value: key "bounds.retry-ratio": 0 is not above zero`},
 		{`grace = "6s"`, `grace = "soon"`, `s.toml:17: invalid value: key "bounds.grace"`},
+		{`memory-mb = 284`, "memory-mb = 284\n[placement]\ntransfer-unit-bytes = -1", `s.toml:20: invalid value: key "placement.transfer-unit-bytes": -1 is not above zero`},
 		{`backend = "127.0.0.1:2"`, `backend = "here"`, `s.toml:5: invalid value: key "backend"`},
 	} {
 		g := NewWithT(t)
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"net"
 	"net/netip"
 	"time"
 
@@ -14,6 +13,10 @@
 const (
 	// beaconInterval is the pause between regular beacons.
 	beaconInterval = 225 * time.Millisecond
+	// remoteRounds is the number of rounds after which entry nodes in other failure
+	// domains get the next beacon. Their silence timeout stays the same, and fewer
+	// bytes pass between the domains, where calls seldom go.
+	remoteRounds = 2
 	// maxFanout is how many of the nodes that send no calls here get a beacon
 	// in each round, in fleets of up to maxFanoutFleet nodes. Larger fleets get
 	// fewer, but at least minFanout, to bound the control traffic of a node.
@@ -118,29 +121,36 @@
 	self := s.settings.Load().Host()
 	for _, peer := range s.view.Peers() {
 		if b := peer.Beacon(); b.Host != self && isEntryNode[b.Host] {
-			s.sendDatagram(b.GossipAddress, data)
+			s.sendDatagram(b, transferNotices, data)
 		}
 	}
 }
 
-// broadcast sends a beacon to the nodes that send calls here and, in rotation,
-// to some of the others, or to all of them if toAll is set.
+// broadcast sends a beacon to the nodes that send calls here, to those in other
+// failure domains in some rounds only, and to some of the others in rotation. If
+// toAll is set, it sends one to every node.
 func (s *Sidecar) broadcast(toAll bool) {
 	b := s.beacon()
 	s.view.Merge(s.clock.Now(), b)
 	s.ingress.UpdateLoad(b)
 	peers := s.view.Peers()
 	targets := s.nextGossipTargets(len(peers))
-	entryNodeBeacon, gossipBeacon := s.encodeBeacon(b, beaconInterval), s.encodeBeacon(b, gossipInterval(len(peers)))
+	s.beaconRound++
+	remoteTurn := toAll || s.beaconRound%remoteRounds == 0
+	localBeacon, remoteBeacon := s.encodeBeacon(b, beaconInterval), s.encodeBeacon(b, remoteRounds*beaconInterval)
+	gossipBeacon := s.encodeBeacon(b, gossipInterval(len(peers)))
 	isEntryNode := s.entryNodes()
 	for i, peer := range peers {
 		host := peer.Beacon().Host
 		switch {
 		case host == b.Host:
+		case isEntryNode[host] && peer.Beacon().FailureDomain == b.FailureDomain:
+			s.sendDatagram(peer.Beacon(), transferBeacons, localBeacon)
+		case isEntryNode[host] && remoteTurn:
+			s.sendDatagram(peer.Beacon(), transferBeacons, remoteBeacon)
 		case isEntryNode[host]:
-			s.sendDatagram(peer.Beacon().GossipAddress, entryNodeBeacon)
 		case toAll || targets[i]:
-			s.sendDatagram(peer.Beacon().GossipAddress, gossipBeacon)
+			s.sendDatagram(peer.Beacon(), transferBeacons, gossipBeacon)
 		}
 	}
 	s.mergePeerEstimates(b, peers)
@@ -205,14 +215,19 @@
 	s.gate.SetPeerEstimate(merged)
 }
 
-func (s *Sidecar) sendDatagram(address string, data []byte) {
-	target, err := net.ResolveUDPAddr("udp", address)
+// sendDatagram sends a beacon or notice to the node of a beacon.
+func (s *Sidecar) sendDatagram(to fleet.Beacon, kind transferKind, data []byte) {
+	target, err := netip.ParseAddrPort(to.GossipAddress)
 	if err != nil {
-		_ = level.Error(s.logger).Log("event", "beacon-failed", "address", address, "err", err)
+		_ = level.Error(s.logger).Log("event", "beacon-failed", "address", to.GossipAddress, "err", err)
 		return
 	}
-	if _, err := s.socket.WriteToUDP(data, target); err != nil {
-		_ = level.Debug(s.logger).Log("event", "beacon-failed", "address", address, "err", err)
+	if _, err := s.socket.WriteToUDPAddrPort(data, target); err != nil {
+		_ = level.Debug(s.logger).Log("event", "beacon-failed", "address", to.GossipAddress, "err", err)
+		return
+	}
+	if to.FailureDomain != s.settings.Load().FailureDomain() {
+		s.transfers.add(kind, len(data))
 	}
 }
 
@@ -271,7 +286,7 @@
 	if !change.Known || change.Restarted {
 		// The other node may not know this one yet.
 		own := s.beacon()
-		s.sendDatagram(b.GossipAddress, s.encodeBeacon(own, gossipInterval(len(s.view.Peers()))))
+		s.sendDatagram(b, transferBeacons, s.encodeBeacon(own, gossipInterval(len(s.view.Peers()))))
 	}
 	if table := s.table.Load(); table == nil && b.Revision > 0 || table != nil && b.Revision > table.Revision() {
 		for _, peer := range s.view.Peers() {
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -267,6 +267,9 @@
 	case !complete || response.Status != http.StatusOK:
 		return eris.Errorf("status %d, complete body: %t", response.Status, complete)
 	}
+	if peer.Beacon().FailureDomain != s.settings.Load().FailureDomain() {
+		s.transfers.add(transferConfigurations, len(data))
+	}
 	s.applyConfiguration(data, peer.Beacon().Host)
 	return nil
 }
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -7,7 +7,11 @@
 
 // updateGauges updates the gauges of the process periodically.
 func (s *Sidecar) updateGauges() error {
-	for s.sleep(gaugeInterval) {
+	for round := 1; s.sleep(gaugeInterval); round++ {
+		s.updateTransferGauges()
+		if round%transferLogRounds == 0 {
+			s.logTransfers()
+		}
 		silent := 0
 		peers := s.view.Peers()
 		for _, peer := range peers {
--- a/sidecar/hops.go
+++ b/sidecar/hops.go
@@ -27,9 +27,11 @@
 
 // sender sends attempts to the admission gates of the fleet.
 type sender struct {
-	clock Clock
-	host  string
-	gate  *egress.Gate
+	clock         Clock
+	host          string
+	failureDomain string
+	gate          *egress.Gate
+	transfers     *transfers
 
 	mu    sync.Mutex
 	pools map[string]*nodePool
@@ -43,8 +45,10 @@
 
 var _ ingress.Sender = (*sender)(nil)
 
-func newSender(clock Clock, host string, gate *egress.Gate) *sender {
-	return &sender{clock: clock, host: host, gate: gate, pools: map[string]*nodePool{}}
+func newSender(clock Clock, host, failureDomain string, gate *egress.Gate, transfers *transfers) *sender {
+	return &sender{
+		clock: clock, host: host, failureDomain: failureDomain, gate: gate, transfers: transfers, pools: map[string]*nodePool{},
+	}
 }
 
 func dialNode(ctx context.Context, address string) (net.Conn, error) {
@@ -105,7 +109,11 @@
 		}
 		return egress.Refusal(outcome, call.ReasonConnection)
 	}
-	return readAnswer(meta, response)
+	answer := readAnswer(meta, response)
+	if b.FailureDomain != s.failureDomain {
+		s.transfers.addCall(meta, header, len(c.Content), answer)
+	}
+	return answer
 }
 
 // readAnswer decodes the gate's answer from a response. A response that does
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -70,6 +70,7 @@
 	gate            *egress.Gate
 	ingress         *ingress.Ingress
 	sender          *sender
+	transfers       transfers
 	callerServer    *http1.Server
 	nodeServer      *http1.Server
 	httpServers     []*http.Server
@@ -82,6 +83,8 @@
 	// gossipCursor counts the beacons sent in rotation to nodes that send no
 	// calls here.
 	gossipCursor int
+	// beaconRound counts the rounds of beacons.
+	beaconRound int
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -139,10 +142,10 @@
 	s.gate = egress.NewGate(conf.BackendAddress(), s.table.Load, egress.WithClock(s.clock),
 		egress.WithLogger(s.logger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
 		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist))
-	s.sender = newSender(s.clock, conf.Host(), s.gate)
+	s.sender = newSender(s.clock, conf.Host(), conf.FailureDomain(), s.gate, &s.transfers)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.sender,
 		ingress.WithClock(s.clock), ingress.WithParentLookup(s.gate.RecordNestedCall), ingress.WithHost(conf.Host()), ingress.WithBlocklist(s.blocklist),
-		ingress.WithObserver(newRequestLog(s).observe),
+		ingress.WithObserver(newRequestLog(s).observe), ingress.WithTransferUnit(conf.TransferUnit()),
 		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
 	if err := s.listen(conf); err != nil {
 		s.Kill()
--- /dev/null
+++ b/sidecar/transfer.go
@@ -0,0 +1,100 @@
+package sidecar
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/hop"
+)
+
+// transferKind is a reason for which bytes are transferred to or from nodes in
+// other failure domains.
+type transferKind int
+
+// The kinds of transfers.
+const (
+	transferHeads transferKind = iota
+	transferRequestBodies
+	transferResponseBodies
+	// transferNested counts all bytes of nested calls.
+	transferNested
+	// transferRefused counts all bytes of attempts that did not run.
+	transferRefused
+	transferBeacons
+	transferNotices
+	transferConfigurations
+	transferKinds
+)
+
+// String returns the kebab-case name.
+func (k transferKind) String() string {
+	return [...]string{
+		"heads", "request-bodies", "response-bodies", "nested-calls", "refused-calls", "beacons", "notices", "configurations",
+	}[k]
+}
+
+// transferLogRounds is the number of gauge updates between two log lines about
+// transfers.
+const transferLogRounds = 10
+
+// transfers counts the bytes that this node exchanges with nodes in other failure
+// domains, each at the node that initiates the exchange; it is safe for concurrent
+// use.
+type transfers struct {
+	bytes [transferKinds]atomic.Int64
+}
+
+func (t *transfers) add(kind transferKind, bytes int) { t.bytes[kind].Add(int64(bytes)) }
+
+// addCall counts an attempt at a gate. Bodies of unknown length are left out.
+func (t *transfers) addCall(meta hop.Meta, header http.Header, body int, answer *egress.Answer) {
+	heads, response := headBytes(header), 0
+	if answer.Response != nil {
+		heads += headBytes(answer.Response.Header)
+		response = int(max(answer.Response.Length, 0))
+	}
+	switch {
+	case answer.Response == nil:
+		t.add(transferRefused, heads+body)
+	case meta.Depth > 0:
+		t.add(transferNested, heads+body+response)
+	default:
+		t.add(transferHeads, heads)
+		t.add(transferRequestBodies, body)
+		t.add(transferResponseBodies, response)
+	}
+}
+
+// fieldOverhead is the length of the characters around a header field.
+const fieldOverhead = len(": \r\n")
+
+// headBytes returns the encoded length of header fields.
+func headBytes(header http.Header) int {
+	length := 0
+	for name, values := range header {
+		for _, value := range values {
+			length += len(name) + len(value) + fieldOverhead
+		}
+	}
+	return length
+}
+
+// updateTransferGauges updates the gauges of transfers.
+func (s *Sidecar) updateTransferGauges() {
+	for kind := range transferKinds {
+		s.gauge("domain_transfer_bytes_"+strings.ReplaceAll(kind.String(), "-", "_"), float64(s.transfers.bytes[kind].Load()))
+	}
+}
+
+// logTransfers logs the bytes transferred so far, by kind.
+func (s *Sidecar) logTransfers() {
+	fields := []any{"event", "transfers"}
+	for kind := range transferKinds {
+		fields = append(fields, kind.String(), s.transfers.bytes[kind].Load())
+	}
+	_ = level.Info(s.logger).Log(fields...)
+}
