fleet, sidecar: few nodes register in the store, the others join through them

Change: three nodes of each failure domain, the first by a hash of their names, are anchors: only they have an entry. A starting node reads the entries (stale), greets the anchors, and takes the roster and the configuration from a node, of its own domain if possible. In a new fleet (setting first-start) the nodes wait for a random, exponentially distributed time before they register; one that hears nobody depends on the store alone after a second. Only nodes that read a configuration from the store tell all others. A node without an entry whose clock was set back learns its earlier incarnation from its peers. fleet.Error has a cause everywhere.

Tests that fail without it: entries and writes of 24 nodes that start at once, others take over when the anchors are gone, a dead anchor does not block, an incarnation under a clock that was set back without an entry, joining with one answer of the store. Found by the test of crashes while writing it: a roster with the node's own latest beacon raised its incarnation each time.

--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/codec"
 	"github.com/banyancross/banyancross/quarantine"
@@ -80,10 +82,18 @@
 func Decode(data []byte) (Beacon, error) {
 	var b Beacon
 	if err := codec.Unmarshal(data, &b); err != nil {
-		return Beacon{}, newError("decode", KindMalformed, err)
+		return Beacon{}, malformed("decode", err)
 	}
-	if b.Host == "" || b.CallAddress == "" || b.GossipAddress == "" {
-		return Beacon{}, newError("decode", KindMalformed, nil)
+	if !b.complete() {
+		return Beacon{}, malformed("decode", eris.New("no host or no address"))
 	}
 	return b, nil
 }
+
+// complete reports whether the beacon names a node and its addresses.
+func (b Beacon) complete() bool { return b.Host != "" && b.CallAddress != "" && b.GossipAddress != "" }
+
+// olderThan reports whether the beacon was sent before another one of its node.
+func (b Beacon) olderThan(other Beacon) bool {
+	return b.Incarnation < other.Incarnation || (b.Incarnation == other.Incarnation && b.Sequence < other.Sequence)
+}
--- a/fleet/error.go
+++ b/fleet/error.go
@@ -17,7 +17,7 @@
 	err  error
 }
 
-func newError(op string, kind Kind, err error) *Error { return &Error{op: op, kind: kind, err: err} }
+func malformed(op string, err error) *Error { return &Error{op: op, kind: KindMalformed, err: err} }
 
 // Kind returns the kind of the error.
 func (e *Error) Kind() Kind { return e.kind }
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -50,7 +50,7 @@
 func DecodeNotice(data []byte) (Notice, error) {
 	var n Notice
 	if err := codec.Unmarshal(data, &n); err != nil {
-		return Notice{}, newError("decode", KindMalformed, err)
+		return Notice{}, malformed("decode", err)
 	}
 	return n, nil
 }
--- /dev/null
+++ b/fleet/roster.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/codec"
+)
+
+// Roster returns the latest beacons, without loads, of the nodes that are not silent,
+// and of the named node even if it is silent.
+func (v *View) Roster(host string) []Beacon {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	roster := make([]Beacon, 0, len(v.peers))
+	for _, peer := range v.peers {
+		if peer.silent && peer.beacon.Host != host {
+			continue
+		}
+		b := peer.beacon
+		b.Load, b.Blocklist = call.Load{}, nil
+		roster = append(roster, b)
+	}
+	return roster
+}
+
+// EncodeRoster returns the encoded form of a roster.
+func EncodeRoster(roster []Beacon) ([]byte, error) { return codec.Marshal(roster) }
+
+// DecodeRoster reads a roster. Beacons without a host or an address are left out.
+func DecodeRoster(data []byte) ([]Beacon, error) {
+	var roster []Beacon
+	if err := codec.Unmarshal(data, &roster); err != nil {
+		return nil, malformed("decode roster", err)
+	}
+	complete := roster[:0]
+	for _, b := range roster {
+		if b.complete() {
+			complete = append(complete, b)
+		}
+	}
+	return complete, nil
+}
+
+// MergeRoster adds the nodes of another node's roster that are unknown or silent
+// here, as nodes that sent a beacon at now and will send the next one after interval.
+func (v *View) MergeRoster(now time.Time, roster []Beacon, interval time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, b := range roster {
+		peer := v.peers[b.Host]
+		if peer == nil || peer.silent && !b.olderThan(peer.beacon) {
+			b.Interval = interval
+			v.peers[b.Host] = &Peer{beacon: b, lastReceived: now}
+		}
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -29,6 +29,10 @@
 	Changed bool
 	// WasSilent means that the sender was silent before.
 	WasSilent bool
+	// Later is the known beacon of a later incarnation of the sender, nil if there
+	// is none. The sender's clock was set back, so that its incarnation must be
+	// raised.
+	Later *Beacon
 }
 
 // Peer is the last received state of a node.
@@ -58,20 +62,21 @@
 // NewView returns an empty View.
 func NewView() *View { return &View{peers: map[string]*Peer{}} }
 
-// AddFromStore adds a node, as silent, from its entry in the store. It replaces a
-// known one only by a later incarnation, and a node that is not silent only if the
-// call address differs.
-func (v *View) AddFromStore(now time.Time, b Beacon) {
+// AddFromStore adds a node, as silent, from its entry in the store, and reports
+// whether it did. It replaces a known one only by a later incarnation, and a node
+// that is not silent only if the call address differs.
+func (v *View) AddFromStore(now time.Time, b Beacon) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	peer := v.peers[b.Host]
 	if peer != nil && peer.beacon.Incarnation >= b.Incarnation {
-		return
+		return false
 	}
 	if peer != nil && !peer.silent && peer.beacon.CallAddress == b.CallAddress {
-		return
+		return false
 	}
 	v.peers[b.Host] = &Peer{beacon: b, lastReceived: now, silent: true}
+	return true
 }
 
 // Merge applies a beacon to the view and returns what it changed. Beacons older
@@ -85,7 +90,10 @@
 		return MergeResult{Changed: true}
 	}
 	old := peer.beacon
-	if b.Incarnation < old.Incarnation || (b.Incarnation == old.Incarnation && b.Sequence <= old.Sequence) {
+	if b.Incarnation < old.Incarnation {
+		return MergeResult{Known: true, Later: &old}
+	}
+	if b.Incarnation == old.Incarnation && b.Sequence <= old.Sequence {
 		return MergeResult{Known: true}
 	}
 	result := MergeResult{Known: true, Restarted: b.Incarnation != old.Incarnation, WasSilent: peer.silent}
@@ -148,6 +156,19 @@
 	return newlySilent
 }
 
+// Live returns the nodes other than the named one that are not silent.
+func (v *View) Live(self string) []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var live []Peer
+	for host, peer := range v.peers {
+		if host != self && !peer.silent {
+			live = append(live, *peer)
+		}
+	}
+	return live
+}
+
 // Peers returns all nodes, sorted by host.
 func (v *View) Peers() []Peer {
 	v.mu.Lock()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -268,7 +268,7 @@
 		func(bytes int64, returns bool) {
 			loads := []call.Load{{Limit: 10, Slowdown: 1}, {Limit: 10}, {Limit: 10}}
 			sender, address := start(setup{attempts: 2, hosts: 3, budget: largeBudget, meanResponseBytes: bytes, loads: loads},
-				func(host string, meta hop.Meta) *egress.Answer {
+				func(string, hop.Meta) *egress.Answer {
 					refusal := egress.Refusal(call.NotRun, call.ReasonOverload)
 					refusal.Meta.Load = &call.Load{Running: 10, Limit: 10, Slowdown: 1}
 					return refusal
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -30,6 +30,7 @@
 	gracePeriod           time.Duration
 	memoryLimitMB         int
 	transferUnit          int64
+	firstStart            bool
 }
 
 // Host returns the name of the host.
@@ -89,6 +90,9 @@
 // MemoryLimitMB returns the limit of the process's memory in megabytes.
 func (s *Sidecar) MemoryLimitMB() int { return s.memoryLimitMB }
 
+// FirstStart reports whether the whole fleet starts for the first time.
+func (s *Sidecar) FirstStart() bool { return s.firstStart }
+
 // TransferUnit returns the number of bytes whose transfer between failure domains
 // costs as much as the whole capacity of an upstream.
 func (s *Sidecar) TransferUnit() int64 { return s.transferUnit }
@@ -101,6 +105,7 @@
 	Platform      string        `toml:"platform"`
 	LogLevel      string        `toml:"log-level"`
 	Backend       string        `toml:"backend"`
+	FirstStart    bool          `toml:"first-start"`
 	Listen        sidecarListen `toml:"listen"`
 	Bounds        sidecarBounds `toml:"bounds"`
 	// Advertise holds addresses that other nodes use in place of those in Listen.
@@ -151,6 +156,7 @@
 	}
 	c := &checker{lines: toml.IndexLines(name, data)}
 	s := &Sidecar{
+		firstStart:       doc.FirstStart,
 		host:             c.name(doc.Host, "host"),
 		failureDomain:    c.name(doc.FailureDomain, "failure-domain"),
 		service:          c.name(doc.Service, "service"),
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -270,10 +270,21 @@
 	}
 }
 
+// handleEcho raises the incarnation of this node if another node knows a later one
+// from before a restart.
+func (s *Sidecar) handleEcho(b fleet.Beacon) {
+	if b.Incarnation > s.incarnation.Load() {
+		_ = level.Warn(s.logger).Log("event", "incarnation-raised", "known", b.Incarnation)
+		s.raiseIncarnation(b.Incarnation)
+		s.notifyStateChanged()
+	}
+}
+
 // handleBeacon applies a beacon of another node and requests the node's
 // configuration if it is newer.
 func (s *Sidecar) handleBeacon(b fleet.Beacon) {
 	if b.Host == s.settings.Load().Host() {
+		s.handleEcho(b)
 		return
 	}
 	change := s.view.Merge(s.clock.Now(), b)
@@ -283,6 +294,10 @@
 		_ = level.Info(s.logger).Log("event", "node", "node", b.Host, "known", change.Known, "restarted", change.Restarted,
 			"returned", change.WasSilent, "upstream", b.Upstream, "service", b.Service, "phase", b.Phase, "stopping", b.Stopping)
 	}
+	if change.Later != nil {
+		// The sender's clock was set back before its restart.
+		s.sendDatagram(b, transferBeacons, s.encodeBeacon(*change.Later, change.Later.Interval))
+	}
 	if !change.Known || change.Restarted {
 		// The other node may not know this one yet.
 		own := s.beacon()
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
 
@@ -16,21 +15,16 @@
 )
 
 const (
+	// storeSource is the source of a configuration that was read from the store.
+	storeSource = "store"
 	// configurationPath serves this node's configuration to other nodes.
 	configurationPath = "/.banyancross/configuration"
 	// maxWatchers is how many nodes watch the store for a new configuration;
 	// the others learn of it from their beacons. Some watchers survive the loss
-	// of a failure domain, and the store's load does not grow with the fleet.
+	// of a failure domain, and the store's load does not grow with the fleet. At
+	// most as many others stand in for those that cannot reach the store, so that an
+	// outage does not make all nodes poll it.
 	maxWatchers = 8
-	// maxStandbyWatchers is how many more nodes watch at most in place of those
-	// that cannot reach the store, so that an outage does not make all nodes
-	// poll it.
-	maxStandbyWatchers = maxWatchers
-	// startupPeriod is how long a node after its start watches the store
-	// whatever its rank, until its first read, and counts nodes as live that it
-	// knows only from the store. It is at most half of the 2 s within which a
-	// configuration must be in force.
-	startupPeriod = time.Second
 	// watchRoleInterval is the pause between checks of whether this node should
 	// watch the store.
 	watchRoleInterval = 100 * time.Millisecond
@@ -62,14 +56,13 @@
 	maxConfigurationBytes = platform.MaxValueBytes
 )
 
-// watchConfiguration reads the operators' configuration from the store, so that
-// a started node becomes ready soon, and then watches it while this node is
-// among the watchers.
+// watchConfiguration watches the operators' configuration in the store while this
+// node is among the watchers.
 func (s *Sidecar) watchConfiguration() error {
 	var last platform.Entry
-	backoff, read := minStoreBackoff, false
+	backoff := minStoreBackoff
 	for s.tomb.Alive() {
-		if (read || !s.starting()) && !s.shouldWatch() {
+		if !s.shouldWatch() {
 			if !s.sleep(watchRoleInterval) {
 				return nil
 			}
@@ -87,10 +80,10 @@
 			backoff = min(2*backoff, maxStoreBackoff)
 			continue
 		}
-		backoff, read = minStoreBackoff, true
+		backoff = minStoreBackoff
 		s.recordStoreResult(nil)
 		if next.Version() != last.Version() && len(next.Value()) > 0 {
-			s.applyConfiguration(next.Value(), "store")
+			s.applyConfiguration(next.Value(), storeSource)
 		}
 		last = next
 	}
@@ -113,58 +106,27 @@
 	s.notifyStateChanged()
 }
 
-// starting reports whether the node started less than startupPeriod ago.
-func (s *Sidecar) starting() bool { return s.clock.Now().Sub(s.started) < startupPeriod }
-
-// shouldWatch reports whether this node is among those that watch the store.
+// shouldWatch reports whether this node is among those that watch the store. A node
+// that has heard from no other one watches it once it has waited for one. In a new
+// fleet, nodes that are still joining watch only if they are registered, since all
+// know but a few others. After a restart, those count that are known from the store.
 func (s *Sidecar) shouldWatch() bool {
-	r := s.rank()
-	return r.connectedBefore < maxWatchers && r.liveBefore < maxWatchers+maxStandbyWatchers
-}
-
-// watchRank is a node's rank among those that may watch the store.
-type watchRank struct {
-	// liveBefore counts the live nodes that rank before this one,
-	// connectedBefore those of them that reach the store, and connected all
-	// live nodes that reach the store, including this one.
-	liveBefore, connectedBefore, connected int
-}
-
-// rank returns this node's rank. Nodes rank by the hash of their names, which
-// is unrelated to their failure domains.
-func (s *Sidecar) rank() watchRank {
-	self := s.settings.Load().Host()
-	own := xxhash.Sum64String(self)
-	starting := s.starting()
-	r := watchRank{connected: 1}
-	for _, peer := range s.view.Peers() {
-		b := peer.Beacon()
-		if b.Host == self || b.Stopping || (peer.Silent() && !starting) {
-			continue
-		}
-		other := xxhash.Sum64String(b.Host)
-		before := other < own || (other == own && b.Host < self)
-		if before {
-			r.liveBefore++
-		}
-		if b.StoreUnreachable {
-			continue
-		}
-		r.connected++
-		if before {
-			r.connectedBefore++
-		}
+	switch {
+	case !s.joined():
+		return s.remainingJoinWait() <= 0
+	case !s.settled.Load() && s.settings.Load().FirstStart():
+		return s.registered.Load()
 	}
-	return r
+	return s.view.Rank(s.settings.Load().Host(), "", !s.settled.Load()).Selected(maxWatchers)
 }
 
 // watchWait returns how long the next watch waits: until this node's slot in a
 // round of the watchers. A change ends all watches at once; without slots they
 // would all restart at the same time from then on.
 func (s *Sidecar) watchWait() time.Duration {
-	r := s.rank()
-	connected := min(r.connected, maxWatchers)
-	return untilSlot(s.clock.Now(), r.connectedBefore%connected, connected)
+	r := s.view.Rank(s.settings.Load().Host(), "", !s.settled.Load())
+	connected := min(r.Connected, maxWatchers)
+	return untilSlot(s.clock.Now(), r.ConnectedBefore%connected, connected)
 }
 
 // untilSlot returns the time until the given slot of a round with one slot for
@@ -201,7 +163,10 @@
 		return
 	}
 	_ = level.Info(s.logger).Log("event", "configuration", "revision", table.Revision(), "source", source)
-	s.notifyStateChanged()
+	if source == storeSource {
+		// The other nodes learn of the revision from those that watch the store.
+		s.notifyStateChanged()
+	}
 }
 
 // fetchConfigurations fetches newer configurations from the nodes that have
@@ -236,7 +201,7 @@
 	}
 	entry, err := s.store.Get(s.context(), platform.ConfigurationKey)
 	if err == nil && len(entry.Value()) > 0 {
-		s.applyConfiguration(entry.Value(), "store")
+		s.applyConfiguration(entry.Value(), storeSource)
 	}
 	if !outdated() {
 		return
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -27,3 +27,16 @@
 
 // Watches reports whether the node watches the store.
 func (s *Sidecar) Watches() bool { return s.shouldWatch() }
+
+// Nodes returns the number of nodes that this one knows and that are not silent,
+// including itself.
+func (s *Sidecar) Nodes() int { return len(s.view.Live("")) }
+
+// Registered reports whether the node's entry is in the store.
+func (s *Sidecar) Registered() bool { return s.registered.Load() }
+
+// Settled reports whether the node has joined the fleet.
+func (s *Sidecar) Settled() bool { return s.settled.Load() }
+
+// Incarnation returns the node's incarnation.
+func (s *Sidecar) Incarnation() int64 { return s.incarnation.Load() }
--- a/sidecar/handlers.go
+++ b/sidecar/handlers.go
@@ -5,6 +5,7 @@
 	"io"
 	stdlog "log"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -38,10 +39,19 @@
 
 // Serve implements http1.Handler.
 func (h *nodeHandler) Serve(ctx context.Context, r *http1.Request, reply *http1.Reply) {
-	if r.Target != configurationPath && r.Target != anySizePath {
+	path, query, _ := strings.Cut(r.Target, "?")
+	switch path {
+	case configurationPath:
+		h.serveConfiguration(r, reply)
+	case rosterPath:
+		h.sidecar.serveRoster(query, reply)
+	default:
 		h.gate.Serve(ctx, r, reply)
-		return
 	}
+}
+
+// serveConfiguration answers a node whose configuration is older.
+func (h *nodeHandler) serveConfiguration(r *http1.Request, reply *http1.Reply) {
 	rawConfiguration := h.sidecar.rawConfiguration.Load()
 	switch {
 	case rawConfiguration == nil:
--- /dev/null
+++ b/sidecar/joining_test.go
@@ -0,0 +1,185 @@
+package sidecar_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/sidecar"
+)
+
+// anchorEntries is the number of entries that a failure domain keeps in the store.
+const anchorEntries = 3
+
+var _ = Describe("joining a fleet", func() {
+	entries := func(f *testFleet) []string { return f.store.Keys("banyancross/nodes/") }
+
+	It("needs few entries in the store, however many nodes start at once", func() {
+		f := newTestFleet()
+		f.firstStart = true
+		f.publish(1)
+		const nodes = 24
+		for range nodes {
+			f.add()
+		}
+		for _, h := range f.hosts {
+			Eventually(h.revision).Should(Equal("1"))
+			Eventually(h.sidecar.Nodes).Should(Equal(nodes))
+		}
+		Eventually(func() int { return len(entries(f)) }).Should(BeNumerically(">=", anchorEntries))
+		Consistently(func() int { return len(entries(f)) }, "500ms").Should(BeNumerically("<=", 2*anchorEntries))
+		_, writes, _ := f.store.Calls()
+		// Each entry takes a lease and a write. Two nodes may register before they see
+		// each other.
+		Expect(writes).To(BeNumerically("<=", 2*2*anchorEntries))
+	})
+
+	It("registers others when the registered nodes are gone", func() {
+		f := newTestFleet()
+		f.publish(1)
+		for range 8 {
+			f.add()
+		}
+		for _, h := range f.hosts {
+			Eventually(h.sidecar.Nodes).Should(Equal(8))
+		}
+		registered := func(h *host) bool { return h.sidecar.Registered() }
+		var gone []*host
+		for _, h := range f.hosts {
+			Eventually(h.sidecar.Settled).Should(BeTrue())
+			if registered(h) && len(gone) < anchorEntries {
+				gone = append(gone, h)
+			}
+		}
+		for _, h := range gone {
+			h.sidecar.Kill()
+		}
+		Eventually(func() int {
+			alive := 0
+			for _, h := range f.hosts {
+				if registered(h) && f.store.Value("banyancross/nodes/"+h.name) != nil {
+					alive++
+				}
+			}
+			for _, h := range gone {
+				if registered(h) {
+					alive--
+				}
+			}
+			return alive
+		}).Should(BeNumerically(">=", anchorEntries))
+		newcomer := f.add()
+		newcomer.sendHeartbeat("ready")
+		for _, h := range f.hosts[:8] {
+			if !contains(gone, h) {
+				f.waitUntilAvailable(h, newcomer)
+			}
+		}
+	})
+
+	It("reads the configuration from the store when no registered node answers", func() {
+		f := newTestFleet()
+		f.publish(1)
+		a := f.add()
+		Eventually(func() int { return len(entries(f)) }).Should(Equal(1))
+		a.sidecar.Kill()
+		b := f.add()
+		Eventually(b.revision, "3s").Should(Equal("1"))
+		Eventually(func() []string { return entries(f) }).Should(ContainElement("banyancross/nodes/" + b.name))
+	})
+
+	It("raises the incarnation of a node that has no entry and whose clock was set back", func() {
+		f := newTestFleet()
+		f.publish(1)
+		for range 8 {
+			f.add()
+		}
+		for _, h := range f.hosts {
+			Eventually(h.sidecar.Nodes).Should(Equal(8))
+			Eventually(h.sidecar.Settled).Should(BeTrue())
+		}
+		f.store.EndLeases()
+		var unregistered *host
+		for _, h := range f.hosts {
+			if !h.sidecar.Registered() {
+				unregistered = h
+			}
+		}
+		Expect(unregistered).NotTo(BeNil())
+		other := f.hosts[0]
+		if other == unregistered {
+			other = f.hosts[1]
+		}
+		unregistered.sendHeartbeat("ready")
+		f.waitUntilAvailable(other, unregistered)
+		unregistered.sidecar.Kill()
+		Eventually(func() bool { return other.sidecar.UpstreamAvailable(unregistered.name) }).Should(BeFalse())
+		unregistered.start(sidecar.WithClock(hourBehind{}))
+		unregistered.sendHeartbeat("ready")
+		f.waitUntilAvailable(other, unregistered)
+	})
+
+	It("leaves the incarnation of a node alone that others know by its latest beacon", func() {
+		f := newTestFleet()
+		f.publish(1)
+		a, b := f.add(), f.add()
+		before := []int64{a.sidecar.Incarnation(), b.sidecar.Incarnation()}
+		Eventually(a.sidecar.Settled).Should(BeTrue())
+		Eventually(b.sidecar.Settled).Should(BeTrue())
+		Expect([]int64{a.sidecar.Incarnation(), b.sidecar.Incarnation()}).To(Equal(before))
+	})
+
+	It("works without the store for a node that has read the entries once", func() {
+		f := newTestFleet()
+		f.publish(1)
+		a := f.add()
+		a.sendHeartbeat("ready")
+		Eventually(func() int { return len(entries(f)) }).Should(Equal(1))
+		store := &listOnlyStore{Client: platform.NewClient(strings.TrimPrefix(f.server.URL, "http://"))}
+		b := f.add(sidecar.WithStore(store))
+		Eventually(b.revision).Should(Equal("1"))
+		f.waitUntilServedBy(b, "i-stock-1")
+	})
+})
+
+// listOnlyStore is a store that answers nothing but one range read.
+type listOnlyStore struct {
+	*platform.Client
+	listed bool
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (s *listOnlyStore) List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error) {
+	if s.listed {
+		return nil, 0, errNoAnswer
+	}
+	s.listed = true
+	return s.Client.List(ctx, prefix, stale)
+}
+
+func (s *listOnlyStore) Get(context.Context, string) (platform.Entry, error) {
+	return platform.Entry{}, errNoAnswer
+}
+
+func (s *listOnlyStore) WatchFor(context.Context, string, platform.Entry, time.Duration) (platform.Entry, error) {
+	return platform.Entry{}, errNoAnswer
+}
+
+func (s *listOnlyStore) GrantLease(context.Context, time.Duration) (uint64, error) {
+	return 0, errNoAnswer
+}
+
+func contains(hosts []*host, h *host) bool {
+	for _, other := range hosts {
+		if other == h {
+			return true
+		}
+	}
+	return false
+}
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -23,9 +23,15 @@
 	// leaseRenewalInterval the pause between renewals.
 	leaseDuration        = 30 * time.Second
 	leaseRenewalInterval = 9 * time.Second
-	// maxRenewalBackoff is the longest pause after a failed renewal. Only
-	// starting nodes need the entry, and beacons reach them as well.
-	maxRenewalBackoff = 4 * time.Second
+	// maxRenewalBackoff is the longest pause after a failed call of the store, so
+	// that entries are back soon after an outage.
+	maxRenewalBackoff = 2 * time.Second
+	// listInterval is the pause between reads of the fleet's entries by a node that is
+	// no anchor. The entries reunite parts of the fleet that have lost each other.
+	listInterval = 30 * time.Second
+	// anchorCheckInterval is the pause between checks whether this node has to become
+	// an anchor.
+	anchorCheckInterval = 250 * time.Millisecond
 	// estimateWriteDelay is the delay between a changed saturation estimate and
 	// its write. The nodes of a service change theirs at nearly the same time,
 	// and continue to add samples.
@@ -38,20 +44,19 @@
 	Samples  float64 `cbor:"2,keyasint"`
 }
 
-// register renews this node's entry in the store and reads those of the other
-// nodes, periodically.
+// register keeps this node's entry in the store while it is an anchor, and reads
+// those of the others: often until another node is heard, and then periodically.
 func (s *Sidecar) register() error {
-	lease := s.resumeLease()
+	var lease uint64
 	backoff, failing := minStoreBackoff, false
+	if s.settings.Load().FirstStart() && !s.sleep(min(s.jittered(firstListDelay), s.remainingJoinWait())) {
+		return nil
+	}
 	for s.tomb.Alive() {
-		err := s.renewRegistration(&lease)
-		if err == nil {
-			err = s.readFleet()
-		}
+		wait, err := s.updateRegistration(&lease)
 		if err == nil {
 			s.recordStoreResult(nil)
 		}
-		wait := leaseRenewalInterval
 		switch {
 		case err == nil && failing:
 			_ = level.Info(s.logger).Log("event", "registered-again")
@@ -64,22 +69,101 @@
 		} else {
 			backoff = minStoreBackoff
 		}
-		if !s.sleep(s.jittered(wait)) {
+		if !s.pauseRegistration(s.jittered(wait)) {
 			return nil
 		}
 	}
 	return nil
 }
 
-// resumeLease returns the lease of the entry that an earlier process of this
-// node has left, 0 if there is none. A stale read suffices: if it contains the
-// entry, nodes that have started since have found the entry too.
-func (s *Sidecar) resumeLease() uint64 {
-	entries, _, err := s.store.List(s.context(), entriesPrefix, true)
+// updateRegistration reads the fleet's entries and renews or writes this node's own
+// if it is an anchor. It returns the pause until the next update.
+func (s *Sidecar) updateRegistration(lease *uint64) (time.Duration, error) {
+	if err := s.readFleet(lease, true); err != nil {
+		return 0, err
+	}
+	if !s.joined() {
+		return s.registerAlone(lease)
+	}
+	if !s.isAnchor() {
+		s.registered.Store(false)
+		return listInterval, nil
+	}
+	return leaseRenewalInterval, s.renewRegistration(lease)
+}
+
+// registerAlone registers this node once it has waited for others to be heard. An
+// up-to-date list of entries first shows whether another one has registered
+// meanwhile.
+func (s *Sidecar) registerAlone(lease *uint64) (time.Duration, error) {
+	pause := min(max(s.clock.Now().Sub(s.started)/2, minListInterval), maxListInterval)
+	if remaining := s.remainingJoinWait(); remaining > 0 {
+		return min(pause, remaining), nil
+	}
+	if *lease == 0 {
+		known := len(s.view.Peers())
+		if err := s.readFleet(lease, false); err != nil {
+			return 0, err
+		}
+		if len(s.view.Peers()) > known {
+			return pause, nil
+		}
+	}
+	return pause, s.renewRegistration(lease)
+}
+
+// isAnchor reports whether this node is one of those of its failure domain that
+// register. While it joins, it stays what it is.
+func (s *Sidecar) isAnchor() bool {
+	if !s.settled.Load() {
+		return s.registered.Load()
+	}
+	conf := s.settings.Load()
+	return fleet.IsAnchor(s.view.Rank(conf.Host(), conf.FailureDomain(), false))
+}
+
+// mustRegister reports whether this node is an anchor, or has waited in vain for
+// others.
+func (s *Sidecar) mustRegister() bool {
+	if s.joined() {
+		return s.isAnchor()
+	}
+	return s.remainingJoinWait() <= 0
+}
+
+// pauseRegistration waits, but not longer than it takes until this node has to
+// register, and reports whether the node is still running.
+func (s *Sidecar) pauseRegistration(wait time.Duration) bool {
+	for wait > 0 {
+		step := min(wait, anchorCheckInterval)
+		if !s.sleep(step) {
+			return false
+		}
+		wait -= step
+		if !s.registered.Load() && s.mustRegister() {
+			return true
+		}
+	}
+	return true
+}
+
+// readFleet reads the fleet's entries. It resumes the lease of the entry that an
+// earlier process of this node has left. A stale read may be seconds old.
+func (s *Sidecar) readFleet(lease *uint64, stale bool) error {
+	entries, _, err := s.store.List(s.context(), entriesPrefix, stale)
 	if err != nil {
-		_ = level.Warn(s.logger).Log("event", "registration-failed", "err", err)
-		return 0
+		return err
+	}
+	if *lease == 0 {
+		*lease = s.earlierLease(entries)
 	}
+	s.addEntries(entries)
+	return nil
+}
+
+// earlierLease returns the lease of the entry that an earlier process of this node
+// has left, 0 if there is none.
+func (s *Sidecar) earlierLease(entries []platform.Entry) uint64 {
 	conf := s.settings.Load()
 	for _, entry := range entries {
 		if entry.Key() != nodesPrefix+conf.Host() || entry.Lease() == 0 {
@@ -90,7 +174,6 @@
 			return 0
 		}
 		s.raiseIncarnation(b.Incarnation)
-		s.addEntries(entries)
 		return entry.Lease()
 	}
 	return 0
@@ -111,6 +194,7 @@
 	if *lease != 0 {
 		err := s.store.RenewLease(ctx, *lease)
 		if platform.KindOf(err) != platform.KindLeaseExpired {
+			s.registered.Store(err == nil)
 			return err
 		}
 		_ = level.Warn(s.logger).Log("event", "lease-ended", "lease", *lease)
@@ -128,23 +212,14 @@
 		return err
 	}
 	*lease = granted
+	s.registered.Store(true)
 	return nil
 }
 
-// readFleet reads the fleet's entries. Only the first read must be up to date:
-// nodes that start later find this node's entry.
-func (s *Sidecar) readFleet() error {
-	entries, _, err := s.store.List(s.context(), entriesPrefix, s.fleetRead.Load())
-	if err != nil {
-		return err
-	}
-	s.addEntries(entries)
-	return nil
-}
-
-// addEntries adds the nodes and saturation estimates in the fleet's entries.
+// addEntries adds the nodes and saturation estimates in the fleet's entries, and
+// greets the nodes that are new.
 func (s *Sidecar) addEntries(entries []platform.Entry) {
-	now := s.clock.Now()
+	now, added := s.clock.Now(), false
 	for _, entry := range entries {
 		if service, ok := strings.CutPrefix(entry.Key(), estimatesPrefix); ok {
 			s.loadEstimate(service, entry)
@@ -155,14 +230,20 @@
 			_ = level.Warn(s.logger).Log("event", "entry-skipped", "key", entry.Key(), "err", err)
 			continue
 		}
-		if b.Host != s.settings.Load().Host() {
-			s.view.AddFromStore(now, b)
+		if b.Host != s.settings.Load().Host() && s.view.AddFromStore(now, b) {
+			added = true
 		}
 	}
+	if added {
+		s.extendJoinWait()
+		s.notifyStateChanged()
+	}
 	if !s.fleetRead.Swap(true) {
 		_ = level.Info(s.logger).Log("event", "fleet-read", "entries", len(entries))
+		if !added && !s.settings.Load().FirstStart() {
+			s.joinWait.Store(0)
+		}
 	}
-	s.notifyStateChanged()
 }
 
 // loadEstimate passes the stored saturation estimate of a service to the gate.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -62,8 +62,17 @@
 	// storeUnreachable reports that the store did not answer the latest call.
 	storeUnreachable atomic.Bool
 	stopping         atomic.Bool
-	// fleetRead reports that the fleet's entries were read at least once.
+	// fleetRead reports that the fleet's entries or a roster were read at least once.
 	fleetRead atomic.Bool
+	// joinWait is the time from the start for which this node waits to hear another
+	// one before it depends on the store alone, in nanoseconds.
+	joinWait atomic.Int64
+	// lastJoined is the time from the start at which another node was last heard, in
+	// nanoseconds, 0 if none was.
+	lastJoined atomic.Int64
+	// settled reports that this node has joined the fleet, and registered that its
+	// entry is in the store.
+	settled, registered atomic.Bool
 
 	view            *fleet.View
 	blocklist       *quarantine.Blocklist
@@ -138,6 +147,7 @@
 	s.settings.Store(conf)
 	s.started = s.clock.Now()
 	s.incarnation.Store(s.started.UnixNano())
+	s.joinWait.Store(int64(s.initialJoinWait(conf.FirstStart())))
 	s.logger = log.With(s.logger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.BackendAddress(), s.table.Load, egress.WithClock(s.clock),
 		egress.WithLogger(s.logger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
@@ -251,6 +261,7 @@
 func (s *Sidecar) start() {
 	s.tomb.Go(s.watchConfiguration)
 	s.tomb.Go(s.register)
+	s.tomb.Go(s.join)
 	s.tomb.Go(s.storeEstimates)
 	s.tomb.Go(s.sendBeacons)
 	s.tomb.Go(s.receiveDatagrams)
@@ -274,6 +285,13 @@
 	return s.tomb.Context(nil)
 }
 
+// uniform returns a random number in (0, 1].
+func (s *Sidecar) uniform() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 1 - s.rng.Float64()
+}
+
 // jittered returns a random duration between 75 % and 125 % of d.
 func (s *Sidecar) jittered(d time.Duration) time.Duration {
 	s.mu.Lock()
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -43,6 +43,8 @@
 	server *httptest.Server
 	hosts  []*host
 	ids    int
+	// firstStart means that the hosts start as parts of a new fleet.
+	firstStart bool
 }
 
 func newTestFleet() *testFleet {
@@ -126,6 +128,7 @@
 		Name: name, FailureDomain: "z1", Service: "stock", Platform: strings.TrimPrefix(f.server.URL, "http://"),
 		Backend: backend.Address(), Callers: freeAddress(), Nodes: freeAddress(), Datagrams: freeAddress(),
 		Ready: freeAddress(), Upstream: freeAddress(), Metrics: freeAddress(),
+		FirstStart: f.firstStart,
 	}.TOML()
 	conf, err := settings.ParseSidecar("sidecar.toml", []byte(text))
 	Expect(err).NotTo(HaveOccurred())
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -147,6 +147,20 @@
 	return p.values[key].data
 }
 
+// Keys returns the keys with a prefix.
+func (p *Platform) Keys(prefix string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var keys []string
+	for key := range p.values {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
 // Calls returns the numbers of reads, writes and watches.
 func (p *Platform) Calls() (reads, writes, watches uint64) {
 	return p.reads.Load(), p.writes.Load(), p.watches.Load()
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -11,6 +11,8 @@
 	Metrics                                    string
 	// Advertised is the address that other nodes send calls to; empty means Nodes.
 	Advertised string
+	// FirstStart means that the whole fleet starts for the first time.
+	FirstStart bool
 }
 
 const settingsTemplate = `host = %q
@@ -18,6 +20,7 @@
 service = %q
 platform = %q
 backend = %q
+first-start = %t
 [listen]
 callers = %q
 nodes = %q
@@ -35,7 +38,7 @@
 
 // TOML returns the complete settings file of the sidecar.
 func (s SidecarSettings) TOML() string {
-	text := fmt.Sprintf(settingsTemplate, s.Name, s.FailureDomain, s.Service, s.Platform, s.Backend,
+	text := fmt.Sprintf(settingsTemplate, s.Name, s.FailureDomain, s.Service, s.Platform, s.Backend, s.FirstStart,
 		s.Callers, s.Nodes, s.Datagrams, s.Ready, s.Upstream, s.Metrics)
 	if s.Advertised != "" {
 		text += fmt.Sprintf("[advertise]\nnodes = %q\n", s.Advertised)
