fleet: nodes that stop calling get a last beacon, and failed calls make a node suspected

Cause: beacons go often only to entry nodes, of the last second; to others they come in rotation, at 295 nodes each 33 s. When a node stopped calling, its last beacon had announced the next one within 225 ms, so it took the other for silent for up to 33 s: 2,636 such lines within a second of traffic. Each entry node chose among the few upstreams that it had just called, and most nodes believed to be among the first of their domain and registered.

Change: a node that no longer sends calls gets one more beacon, which announces the interval of the rotation. Since a dead node then stays in the view for longer, a call that cannot reach a node makes it silent at once (suspected), and it is pinged each round until it answers.

--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -71,6 +71,8 @@
 	Blocklist []quarantine.Record `cbor:"18,keyasint,omitempty"`
 	// StoreUnreachable means that the store does not answer the node.
 	StoreUnreachable bool `cbor:"19,keyasint,omitempty"`
+	// Ping asks the receiver for a beacon in return.
+	Ping bool `cbor:"20,keyasint,omitempty"`
 	// Interval is the time until the receiver is sent the next beacon.
 	Interval time.Duration `cbor:"14,keyasint,omitempty"`
 }
--- a/fleet/join_test.go
+++ b/fleet/join_test.go
@@ -120,3 +120,30 @@
 		Expect(roster).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("a node that calls failed to reach", func() {
+	It("is silent and pinged until it sends a message", func() {
+		v := fleet.NewView()
+		v.Merge(start, beacon("a", 1, 1))
+		v.Merge(start, beacon("b", 1, 1))
+		called := start.Add(100 * time.Millisecond)
+		Expect(v.Suspect(called.Add(time.Second), start.Add(-time.Second), "a")).To(BeFalse(), "it has sent a beacon since the call")
+		Expect(v.Suspect(called.Add(time.Millisecond), called, "a")).To(BeTrue())
+		Expect(hosts(v.Serving("stock"))).To(ConsistOf("b"))
+		Expect(v.Suspects(called)).To(HaveLen(1))
+		Expect(v.Merge(called, beacon("a", 1, 2)).WasSilent).To(BeTrue())
+		Expect(v.Suspects(called)).To(BeEmpty())
+		Expect(hosts(v.Serving("stock"))).To(ConsistOf("a", "b"))
+	})
+
+	It("is no longer pinged after a while, and never if it only sent no beacon", func() {
+		v := fleet.NewView()
+		v.Merge(start, beacon("a", 1, 1))
+		v.Merge(start, beacon("b", 1, 1))
+		called := start.Add(time.Millisecond)
+		Expect(v.Suspect(called, called, "a")).To(BeTrue())
+		later := called.Add(time.Minute)
+		Expect(hosts(v.Expire(later))).To(ConsistOf("b"))
+		Expect(v.Suspects(later)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/fleet/schedule.go
@@ -0,0 +1,43 @@
+package fleet
+
+import "time"
+
+// The decisions in this file answer a fleet in which every node may call every other
+// one: beacons go often only to the nodes that send calls at the moment.
+
+// Turn describes a node in one round of another node's beacons.
+type Turn struct {
+	// EntryNode means that the node sends calls here, and FormerEntryNode that it did
+	// in the round before.
+	EntryNode, FormerEntryNode bool
+	// Remote means that the node is in another failure domain, and RemoteRound that
+	// this round includes those.
+	Remote, RemoteRound bool
+	// All means that the round includes all nodes, and Rotation that it is the node's
+	// turn among those that send no calls.
+	All, Rotation bool
+}
+
+// Schedule holds the intervals between the beacons to a node.
+type Schedule struct {
+	// Local and Remote apply to nodes that send calls here, in the same and in another
+	// failure domain, and Gossip to all others.
+	Local, Remote, Gossip time.Duration
+}
+
+// Next returns the interval that the beacon to a node announces, 0 if none is due. A
+// node that no longer sends calls gets one at once, so that it does not wait for the
+// next one within the interval that the last one announced.
+func (s Schedule) Next(t Turn) time.Duration {
+	switch {
+	case t.EntryNode && !t.Remote:
+		return s.Local
+	case t.EntryNode && (t.RemoteRound || t.All):
+		return s.Remote
+	case t.EntryNode:
+		return 0
+	case t.All || t.Rotation || t.FormerEntryNode:
+		return s.Gossip
+	}
+	return 0
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -16,6 +16,9 @@
 	// removeAfter is the time without a message after which a node is removed. It
 	// exceeds the lifetime of the node's entry in the store.
 	removeAfter = 2 * time.Minute
+	// pingDuration is how long a suspected node is pinged. Later it is known to live
+	// by its next regular beacon.
+	pingDuration = 30 * time.Second
 )
 
 // MergeResult describes what a beacon changed in the view.
@@ -40,6 +43,9 @@
 	beacon       Beacon
 	lastReceived time.Time
 	silent       bool
+	// suspectedAt is when a call to the node last failed, zero if it has sent a
+	// message since.
+	suspectedAt time.Time
 }
 
 // Beacon returns the latest beacon, with the load of later notices.
@@ -98,7 +104,7 @@
 	}
 	result := MergeResult{Known: true, Restarted: b.Incarnation != old.Incarnation, WasSilent: peer.silent}
 	result.Changed = result.Restarted || old.Upstream != b.Upstream || old.Phase != b.Phase || old.Stopping != b.Stopping
-	peer.beacon, peer.lastReceived, peer.silent = b, now, false
+	peer.beacon, peer.lastReceived, peer.silent, peer.suspectedAt = b, now, false, time.Time{}
 	return result
 }
 
@@ -127,6 +133,33 @@
 	}
 }
 
+// Suspect marks a node as silent after a call to it failed, unless it has shown
+// activity since the call started, and reports whether it did.
+func (v *View) Suspect(now, started time.Time, host string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	peer := v.peers[host]
+	if peer == nil || peer.silent || peer.lastReceived.After(started) {
+		return false
+	}
+	peer.silent, peer.suspectedAt = true, now
+	return true
+}
+
+// Suspects returns the nodes that became suspected within pingDuration and have not
+// sent a message since.
+func (v *View) Suspects(now time.Time) []Beacon {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var suspects []Beacon
+	for _, peer := range v.peers {
+		if peer.silent && !peer.suspectedAt.IsZero() && now.Sub(peer.suspectedAt) < pingDuration {
+			suspects = append(suspects, peer.beacon)
+		}
+	}
+	return suspects
+}
+
 // AdjustForPause extends the silence timeouts by a pause of this node.
 func (v *View) AdjustForPause(d time.Duration) {
 	v.mu.Lock()
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -57,8 +57,11 @@
 	in.policy.Finished(now, policyKey(a.peer.Beacon()), routing.Result{
 		Elapsed: now.Sub(a.started), Outcome: r.answer.Meta.Outcome, Reason: r.answer.Meta.Reason, Load: r.answer.Meta.Load,
 	})
-	if r.answer.Meta.FromGate {
-		in.view.RecordActivity(now, a.peer.Beacon().Host)
+	switch host := a.peer.Beacon().Host; {
+	case r.answer.Meta.FromGate:
+		in.view.RecordActivity(now, host)
+	case r.answer.Meta.Reason == call.ReasonConnection && ctx.Err() == nil && host != in.host:
+		in.suspect(now, a.started, host)
 	}
 	results <- r
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -86,6 +86,7 @@
 	host          string
 	blocklist     *quarantine.Blocklist
 	transferUnit  int64
+	suspected     func(host string)
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -125,6 +126,19 @@
 	return func(in *Ingress) { in.retryBudgets = newRetryBudgets(b, in.view) }
 }
 
+// WithSuspicion sets a function that is called when a node becomes silent because
+// a call could not reach it.
+func WithSuspicion(suspected func(host string)) Option {
+	return func(in *Ingress) { in.suspected = suspected }
+}
+
+// suspect marks a node as silent after a call started at started did not reach it.
+func (in *Ingress) suspect(now, started time.Time, host string) {
+	if in.view.Suspect(now, started, host) {
+		in.suspected(host)
+	}
+}
+
 // WithTransferUnit sets the number of bytes whose transfer between failure domains
 // costs as much as the whole capacity of an upstream.
 func WithTransferUnit(bytes int64) Option { return func(in *Ingress) { in.transferUnit = bytes } }
@@ -141,7 +155,7 @@
 	in := &Ingress{
 		clock: clock.System{}, table: table, callerService: callerService, failureDomain: failureDomain,
 		view: view, sender: sender, observe: func(Observation) {}, meanTimes: map[string]time.Duration{}, meanSizes: map[string]int64{},
-		blocklist: quarantine.NewBlocklist(), transferUnit: routing.DefaultTransferUnit,
+		blocklist: quarantine.NewBlocklist(), transferUnit: routing.DefaultTransferUnit, suspected: func(string) {},
 		parentRun: func(string) (egress.Run, bool) { return egress.Run{}, false },
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -137,9 +137,11 @@
 	targets := s.nextGossipTargets(len(peers))
 	s.beaconRound++
 	remoteTurn := toAll || s.beaconRound%remoteRounds == 0
+	s.pingSuspects(b)
 	localBeacon, remoteBeacon := s.encodeBeacon(b, beaconInterval), s.encodeBeacon(b, remoteRounds*beaconInterval)
 	gossipBeacon := s.encodeBeacon(b, gossipInterval(len(peers)))
-	isEntryNode := s.entryNodes()
+	isEntryNode, wasEntryNode := s.entryNodes(), s.beaconedEntryNodes
+	s.beaconedEntryNodes = isEntryNode
 	for i, peer := range peers {
 		host := peer.Beacon().Host
 		switch {
@@ -149,13 +151,33 @@
 		case isEntryNode[host] && remoteTurn:
 			s.sendDatagram(peer.Beacon(), transferBeacons, remoteBeacon)
 		case isEntryNode[host]:
-		case toAll || targets[i]:
+		case toAll || targets[i] || wasEntryNode[host]:
+			// A node that no longer sends calls must not wait for the beacon that the
+			// last one announced.
 			s.sendDatagram(peer.Beacon(), transferBeacons, gossipBeacon)
 		}
 	}
 	s.mergePeerEstimates(b, peers)
 }
 
+// logSuspect logs that calls could not reach a node.
+func (s *Sidecar) logSuspect(host string) {
+	_ = level.Warn(s.logger).Log("event", "node-suspected", "node", host)
+}
+
+// pingSuspects asks the nodes that calls failed to reach for a beacon.
+func (s *Sidecar) pingSuspects(b fleet.Beacon) {
+	suspects := s.view.Suspects(s.clock.Now())
+	if len(suspects) == 0 {
+		return
+	}
+	b.Ping = true
+	data := s.encodeBeacon(b, beaconInterval)
+	for _, suspect := range suspects {
+		s.sendDatagram(suspect, transferBeacons, data)
+	}
+}
+
 // fanout returns how many of the nodes that send no calls here get a beacon in
 // each round.
 func fanout(nodes int) int {
@@ -298,8 +320,8 @@
 		// The sender's clock was set back before its restart.
 		s.sendDatagram(b, transferBeacons, s.encodeBeacon(*change.Later, change.Later.Interval))
 	}
-	if !change.Known || change.Restarted {
-		// The other node may not know this one yet.
+	if !change.Known || change.Restarted || b.Ping {
+		// The other node may not know this one yet, or waits for a sign of life.
 		own := s.beacon()
 		s.sendDatagram(b, transferBeacons, s.encodeBeacon(own, gossipInterval(len(s.view.Peers()))))
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -92,8 +92,10 @@
 	// gossipCursor counts the beacons sent in rotation to nodes that send no
 	// calls here.
 	gossipCursor int
-	// beaconRound counts the rounds of beacons.
-	beaconRound int
+	// beaconRound counts the rounds of beacons, and beaconedEntryNodes holds the entry
+	// nodes of the latest.
+	beaconRound        int
+	beaconedEntryNodes map[string]bool
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -155,7 +157,7 @@
 	s.sender = newSender(s.clock, conf.Host(), conf.FailureDomain(), s.gate, &s.transfers)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.sender,
 		ingress.WithClock(s.clock), ingress.WithParentLookup(s.gate.RecordNestedCall), ingress.WithHost(conf.Host()), ingress.WithBlocklist(s.blocklist),
-		ingress.WithObserver(newRequestLog(s).observe), ingress.WithTransferUnit(conf.TransferUnit()),
+		ingress.WithObserver(newRequestLog(s).observe), ingress.WithTransferUnit(conf.TransferUnit()), ingress.WithSuspicion(s.logSuspect),
 		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
 	if err := s.listen(conf); err != nil {
 		s.Kill()
