fleet: decisions read the view without copying every beacon

Each decision copied the beacons of all nodes, 350 bytes each: the rank of the watchers ten times a second (and sorted them), the retry budget, the list of upstreams of a service twice a request; and each change of a node was a log line at every other one.

Change: a peer holds a beacon that is replaced, not changed, with the names that routing needs; the view keeps its order; questions about one node or their number copy nothing. Log lines about other nodes are limited to 20 a second.

--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -96,6 +96,6 @@
 func (b Beacon) complete() bool { return b.Host != "" && b.CallAddress != "" && b.GossipAddress != "" }
 
 // olderThan reports whether the beacon was sent before another one of its node.
-func (b Beacon) olderThan(other Beacon) bool {
+func (b Beacon) olderThan(other *Beacon) bool {
 	return b.Incarnation < other.Incarnation || (b.Incarnation == other.Incarnation && b.Sequence < other.Sequence)
 }
--- a/fleet/rank.go
+++ b/fleet/rank.go
@@ -27,7 +27,7 @@
 	r := Rank{Connected: 1}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, peer := range v.peers {
+	for _, peer := range v.sorted {
 		b := peer.beacon
 		if b.Host == host || b.Stopping || (peer.silent && !countSilent) || (failureDomain != "" && b.FailureDomain != failureDomain) {
 			continue
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -13,11 +13,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	roster := make([]Beacon, 0, len(v.peers))
-	for _, peer := range v.peers {
+	for _, peer := range v.sorted {
 		if peer.silent && peer.beacon.Host != host {
 			continue
 		}
-		b := peer.beacon
+		b := *peer.beacon
 		b.Load, b.Blocklist = call.Load{}, nil
 		roster = append(roster, b)
 	}
@@ -51,7 +51,7 @@
 		peer := v.peers[b.Host]
 		if peer == nil || peer.silent && !b.olderThan(peer.beacon) {
 			b.Interval = interval
-			v.peers[b.Host] = &Peer{beacon: b, lastReceived: now}
+			v.add(Peer{lastReceived: now}, &b)
 		}
 	}
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -40,7 +41,11 @@
 
 // Peer is the last received state of a node.
 type Peer struct {
-	beacon       Beacon
+	// beacon is never changed, but replaced.
+	beacon *Beacon
+	// key identifies the node's upstream, and group the upstreams of its service in
+	// its failure domain.
+	key, group   string
 	lastReceived time.Time
 	silent       bool
 	// suspectedAt is when a call to the node last failed, zero if it has sent a
@@ -48,26 +53,69 @@
 	suspectedAt time.Time
 }
 
-// Beacon returns the latest beacon, with the load of later notices.
-func (p Peer) Beacon() Beacon { return p.beacon }
+// update sets the beacon.
+func (p *Peer) update(b *Beacon) {
+	old := p.beacon
+	p.beacon = b
+	if old != nil && old.Host == b.Host && old.Upstream == b.Upstream && old.Service == b.Service && old.FailureDomain == b.FailureDomain {
+		return
+	}
+	p.key, p.group = UpstreamKey(b), b.Service+"/"+b.FailureDomain
+}
+
+// UpstreamKey returns the name that identifies the upstream of a node.
+func UpstreamKey(b *Beacon) string { return b.Host + "/" + b.Upstream }
+
+// Beacon returns the latest beacon, with the load of later notices; it must not be
+// changed.
+func (p *Peer) Beacon() *Beacon { return p.beacon }
+
+// Key returns the name that identifies the node's upstream.
+func (p *Peer) Key() string { return p.key }
+
+// Group returns the name of the upstreams of the same service in the same failure
+// domain.
+func (p *Peer) Group() string { return p.group }
 
 // LastReceived returns when the node last showed activity; pauses of this node are
 // left out.
-func (p Peer) LastReceived() time.Time { return p.lastReceived }
+func (p *Peer) LastReceived() time.Time { return p.lastReceived }
 
 // Silent reports whether the node exceeded its timeout, or is only known from the
 // store.
-func (p Peer) Silent() bool { return p.silent }
+func (p *Peer) Silent() bool { return p.silent }
 
 // View holds the last received state of all nodes; it is safe for concurrent use.
 type View struct {
 	mu    sync.Mutex
 	peers map[string]*Peer
+	// sorted holds the peers sorted by host.
+	sorted []*Peer
 }
 
 // NewView returns an empty View.
 func NewView() *View { return &View{peers: map[string]*Peer{}} }
 
+// add adds or replaces a node; v.mu must be held.
+func (v *View) add(peer Peer, b *Beacon) {
+	peer.update(b)
+	old := v.peers[b.Host]
+	if old != nil {
+		*old = peer
+		return
+	}
+	added := &peer
+	v.peers[b.Host] = added
+	at := sort.Search(len(v.sorted), func(i int) bool { return v.sorted[i].beacon.Host >= b.Host })
+	v.sorted = slices.Insert(v.sorted, at, added)
+}
+
+// remove removes a node; v.mu must be held.
+func (v *View) remove(host string) {
+	delete(v.peers, host)
+	v.sorted = slices.DeleteFunc(v.sorted, func(peer *Peer) bool { return peer.beacon.Host == host })
+}
+
 // AddFromStore adds a node, as silent, from its entry in the store, and reports
 // whether it did. It replaces a known one only by a later incarnation, and a node
 // that is not silent only if the call address differs.
@@ -81,7 +129,7 @@
 	if peer != nil && !peer.silent && peer.beacon.CallAddress == b.CallAddress {
 		return false
 	}
-	v.peers[b.Host] = &Peer{beacon: b, lastReceived: now, silent: true}
+	v.add(Peer{lastReceived: now, silent: true}, &b)
 	return true
 }
 
@@ -92,36 +140,40 @@
 	defer v.mu.Unlock()
 	peer := v.peers[b.Host]
 	if peer == nil {
-		v.peers[b.Host] = &Peer{beacon: b, lastReceived: now}
+		v.add(Peer{lastReceived: now}, &b)
 		return MergeResult{Changed: true}
 	}
 	old := peer.beacon
 	if b.Incarnation < old.Incarnation {
-		return MergeResult{Known: true, Later: &old}
+		return MergeResult{Known: true, Later: old}
 	}
 	if b.Incarnation == old.Incarnation && b.Sequence <= old.Sequence {
 		return MergeResult{Known: true}
 	}
 	result := MergeResult{Known: true, Restarted: b.Incarnation != old.Incarnation, WasSilent: peer.silent}
 	result.Changed = result.Restarted || old.Upstream != b.Upstream || old.Phase != b.Phase || old.Stopping != b.Stopping
-	peer.beacon, peer.lastReceived, peer.silent, peer.suspectedAt = b, now, false, time.Time{}
+	peer.update(&b)
+	peer.lastReceived, peer.silent, peer.suspectedAt = now, false, time.Time{}
 	return result
 }
 
 // ApplyNotice updates the load of the node with a gossip address and returns its
 // beacon. It returns false for notices that are older than the last received
 // message or whose sender is silent or unknown.
-func (v *View) ApplyNotice(now time.Time, address string, n Notice) (Beacon, bool) {
+func (v *View) ApplyNotice(now time.Time, address string, n Notice) (*Beacon, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, peer := range v.peers {
 		if peer.beacon.GossipAddress != address || peer.silent || n.Sequence <= peer.beacon.Sequence {
 			continue
 		}
-		peer.beacon.Sequence, peer.beacon.Load, peer.lastReceived = n.Sequence, n.Load(), now
-		return peer.beacon, true
+		b := *peer.beacon
+		b.Sequence, b.Load = n.Sequence, n.Load()
+		peer.update(&b)
+		peer.lastReceived = now
+		return &b, true
 	}
-	return Beacon{}, false
+	return nil, false
 }
 
 // RecordActivity restarts the silence timeout of a node that is not silent.
@@ -148,10 +200,10 @@
 
 // Suspects returns the nodes that became suspected within pingDuration and have not
 // sent a message since.
-func (v *View) Suspects(now time.Time) []Beacon {
+func (v *View) Suspects(now time.Time) []*Beacon {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var suspects []Beacon
+	var suspects []*Beacon
 	for _, peer := range v.peers {
 		if peer.silent && !peer.suspectedAt.IsZero() && now.Sub(peer.suspectedAt) < pingDuration {
 			suspects = append(suspects, peer.beacon)
@@ -178,7 +230,7 @@
 	for host, peer := range v.peers {
 		silence := now.Sub(peer.lastReceived)
 		if silence > removeAfter {
-			delete(v.peers, host)
+			v.remove(host)
 			continue
 		}
 		if !peer.silent && silence > max(SilenceTimeout, maxMissedBeacons*peer.beacon.Interval) {
@@ -189,28 +241,59 @@
 	return newlySilent
 }
 
-// Live returns the nodes other than the named one that are not silent.
+// Live returns the nodes other than the named one that are not silent, sorted by
+// host.
 func (v *View) Live(self string) []Peer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var live []Peer
-	for host, peer := range v.peers {
-		if host != self && !peer.silent {
+	for _, peer := range v.sorted {
+		if peer.beacon.Host != self && !peer.silent {
 			live = append(live, *peer)
 		}
 	}
 	return live
 }
 
+// HasLive reports whether there is a node other than the named one that is not
+// silent.
+func (v *View) HasLive(self string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, peer := range v.sorted {
+		if !peer.silent && peer.beacon.Host != self {
+			return true
+		}
+	}
+	return false
+}
+
+// Len returns the number of nodes.
+func (v *View) Len() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.sorted)
+}
+
+// Peer returns the named node and whether it is known.
+func (v *View) Peer(host string) (Peer, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	peer := v.peers[host]
+	if peer == nil {
+		return Peer{}, false
+	}
+	return *peer, true
+}
+
 // Peers returns all nodes, sorted by host.
 func (v *View) Peers() []Peer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	peers := make([]Peer, 0, len(v.peers))
-	for _, peer := range v.peers {
-		peers = append(peers, *peer)
+	peers := make([]Peer, len(v.sorted))
+	for i, peer := range v.sorted {
+		peers[i] = *peer
 	}
-	sort.Slice(peers, func(i, j int) bool { return peers[i].beacon.Host < peers[j].beacon.Host })
 	return peers
 }
 
@@ -220,15 +303,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var live, silent []Peer
-	for _, peer := range v.peers {
+	for _, peer := range v.sorted {
 		b := peer.beacon
-		if b.Service != service || b.Phase != Ready || b.Stopping {
-			continue
-		}
-		if peer.silent {
-			silent = append(silent, *peer)
-		} else {
+		switch {
+		case b.Service != service || b.Phase != Ready || b.Stopping:
+		case !peer.silent:
 			live = append(live, *peer)
+		case len(live) == 0:
+			silent = append(silent, *peer)
 		}
 	}
 	if len(live) == 0 {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -54,7 +54,7 @@
 		}
 	}
 	now := in.clock.Now()
-	in.policy.Finished(now, policyKey(a.peer.Beacon()), routing.Result{
+	in.policy.Finished(now, a.peer.Key(), routing.Result{
 		Elapsed: now.Sub(a.started), Outcome: r.answer.Meta.Outcome, Reason: r.answer.Meta.Reason, Load: r.answer.Meta.Load,
 	})
 	switch host := a.peer.Beacon().Host; {
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -101,7 +101,7 @@
 // spend charges one retry to the budget of a service and reports whether there was
 // one left. reserve is the share of the budget that must remain unspent.
 func (b *retryBudgets) spend(now time.Time, name string, fanout float32, reserve float64) bool {
-	nodes := len(b.view.Peers()) + 1
+	nodes := b.view.Len() + 1
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, name)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -168,15 +168,12 @@
 }
 
 // UpdateLoad updates the load that a node reports for its upstream.
-func (in *Ingress) UpdateLoad(b fleet.Beacon) {
+func (in *Ingress) UpdateLoad(b *fleet.Beacon) {
 	if b.Upstream != "" {
-		in.policy.UpdateLoad(in.clock.Now(), policyKey(b), b.Load)
+		in.policy.UpdateLoad(in.clock.Now(), fleet.UpstreamKey(b), b.Load)
 	}
 }
 
-// policyKey is the name of an upstream in the routing policy.
-func policyKey(b fleet.Beacon) string { return b.Host + "/" + b.Upstream }
-
 const (
 	// defaultTimeout applies to a request for which neither its caller nor its
 	// route sets a timeout.
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -127,7 +127,7 @@
 	in.SetMeanSize("r", s.meanResponseBytes)
 	for _, b := range beacons {
 		if len(s.loads) > 0 {
-			in.UpdateLoad(b)
+			in.UpdateLoad(&b)
 		}
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/ingress/placement.go
+++ b/ingress/placement.go
@@ -37,7 +37,7 @@
 	b := peer.Beacon()
 	// When no better upstream is left, queueing beats a refusal.
 	declinable := s.picks < maxDeclinablePicks && len(peers) > 1 &&
-		!s.declinedLocal[b.Host] && !s.in.policy.Overloaded(now, policyKey(b))
+		!s.declinedLocal[b.Host] && !s.in.policy.Overloaded(now, peer.Key())
 	return peer, hedge || declinable
 }
 
@@ -71,7 +71,7 @@
 	candidates := make([]routing.Candidate, len(peers))
 	for i, peer := range peers {
 		b := peer.Beacon()
-		candidates[i] = routing.NewCandidate(policyKey(b), b.Slots, 0, !s.local(peer)).WithTransferBytes(bytes)
+		candidates[i] = routing.NewCandidate(peer.Key(), b.Slots, 0, !s.local(peer)).WithTransferBytes(bytes)
 	}
 	return peers[s.in.policy.Choose(now, candidates)]
 }
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -260,7 +260,7 @@
 		repeated: s.mayHaveRun(), minSlowdown: minSlowdown(serving),
 	}
 	s.inFlight = append(s.inFlight, a)
-	s.in.policy.Started(now, policyKey(peer.Beacon()))
+	s.in.policy.Started(now, peer.Key())
 	meta, egressCall := s.meta(now, a), s.egressCall()
 	go s.in.runAttempt(attemptCtx, a, meta, egressCall, s.results)
 	return true
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -25,6 +25,9 @@
 	maxFanoutFleet = 80
 	// maxDatagramBytes bounds a datagram so that it fits into one packet.
 	maxDatagramBytes = 1400
+	// nodeLinesPerSecond and nodeLinesBurst limit the log lines about other nodes.
+	nodeLinesPerSecond = 20
+	nodeLinesBurst     = 100
 	// minBeaconInterval is the shortest pause between beacons that report a
 	// change.
 	minBeaconInterval = 5 * time.Millisecond
@@ -132,30 +135,32 @@
 func (s *Sidecar) broadcast(toAll bool) {
 	b := s.beacon()
 	s.view.Merge(s.clock.Now(), b)
-	s.ingress.UpdateLoad(b)
+	s.ingress.UpdateLoad(&b)
 	peers := s.view.Peers()
 	targets := s.nextGossipTargets(len(peers))
-	s.beaconRound++
-	remoteTurn := toAll || s.beaconRound%remoteRounds == 0
 	s.pingSuspects(b)
-	localBeacon, remoteBeacon := s.encodeBeacon(b, beaconInterval), s.encodeBeacon(b, remoteRounds*beaconInterval)
-	gossipBeacon := s.encodeBeacon(b, gossipInterval(len(peers)))
+	s.beaconRound++
+	schedule := fleet.Schedule{Local: beaconInterval, Remote: remoteRounds * beaconInterval, Gossip: gossipInterval(len(peers))}
+	encoded := map[time.Duration][]byte{}
 	isEntryNode, wasEntryNode := s.entryNodes(), s.beaconedEntryNodes
 	s.beaconedEntryNodes = isEntryNode
-	for i, peer := range peers {
-		host := peer.Beacon().Host
-		switch {
-		case host == b.Host:
-		case isEntryNode[host] && peer.Beacon().FailureDomain == b.FailureDomain:
-			s.sendDatagram(peer.Beacon(), transferBeacons, localBeacon)
-		case isEntryNode[host] && remoteTurn:
-			s.sendDatagram(peer.Beacon(), transferBeacons, remoteBeacon)
-		case isEntryNode[host]:
-		case toAll || targets[i] || wasEntryNode[host]:
-			// A node that no longer sends calls must not wait for the beacon that the
-			// last one announced.
-			s.sendDatagram(peer.Beacon(), transferBeacons, gossipBeacon)
+	for i := range peers {
+		to := peers[i].Beacon()
+		if to.Host == b.Host {
+			continue
 		}
+		interval := schedule.Next(fleet.Turn{
+			EntryNode: isEntryNode[to.Host], FormerEntryNode: wasEntryNode[to.Host],
+			Remote: to.FailureDomain != b.FailureDomain, RemoteRound: s.beaconRound%remoteRounds == 0,
+			All: toAll, Rotation: targets[i],
+		})
+		if interval == 0 {
+			continue
+		}
+		if encoded[interval] == nil {
+			encoded[interval] = s.encodeBeacon(b, interval)
+		}
+		s.sendDatagram(to, transferBeacons, encoded[interval])
 	}
 	s.mergePeerEstimates(b, peers)
 }
@@ -238,7 +243,7 @@
 }
 
 // sendDatagram sends a beacon or notice to the node of a beacon.
-func (s *Sidecar) sendDatagram(to fleet.Beacon, kind transferKind, data []byte) {
+func (s *Sidecar) sendDatagram(to *fleet.Beacon, kind transferKind, data []byte) {
 	target, err := netip.ParseAddrPort(to.GossipAddress)
 	if err != nil {
 		_ = level.Error(s.logger).Log("event", "beacon-failed", "address", to.GossipAddress, "err", err)
@@ -292,6 +297,19 @@
 	}
 }
 
+// logNode logs what a beacon changed in the view, up to a rate: in a large fleet all
+// nodes may change at the same time. Only the receiving loop calls it.
+func (s *Sidecar) logNode(b fleet.Beacon, change fleet.MergeResult) {
+	if !s.nodeLines.AllowN(s.clock.Now(), 1) {
+		s.nodeLinesOmitted++
+		return
+	}
+	_ = level.Info(s.logger).Log("event", "node", "node", b.Host, "known", change.Known, "restarted", change.Restarted,
+		"returned", change.WasSilent, "upstream", b.Upstream, "service", b.Service, "phase", b.Phase, "stopping", b.Stopping,
+		"omitted", s.nodeLinesOmitted)
+	s.nodeLinesOmitted = 0
+}
+
 // handleEcho raises the incarnation of this node if another node knows a later one
 // from before a restart.
 func (s *Sidecar) handleEcho(b fleet.Beacon) {
@@ -310,30 +328,28 @@
 		return
 	}
 	change := s.view.Merge(s.clock.Now(), b)
-	s.ingress.UpdateLoad(b)
+	s.ingress.UpdateLoad(&b)
 	s.blocklist.Merge(s.clock.Now(), b.Host, b.Blocklist)
 	if change.Changed || change.WasSilent {
-		_ = level.Info(s.logger).Log("event", "node", "node", b.Host, "known", change.Known, "restarted", change.Restarted,
-			"returned", change.WasSilent, "upstream", b.Upstream, "service", b.Service, "phase", b.Phase, "stopping", b.Stopping)
+		s.logNode(b, change)
 	}
 	if change.Later != nil {
 		// The sender's clock was set back before its restart.
-		s.sendDatagram(b, transferBeacons, s.encodeBeacon(*change.Later, change.Later.Interval))
+		s.sendDatagram(&b, transferBeacons, s.encodeBeacon(*change.Later, change.Later.Interval))
 	}
 	if !change.Known || change.Restarted || b.Ping {
 		// The other node may not know this one yet, or waits for a sign of life.
 		own := s.beacon()
-		s.sendDatagram(b, transferBeacons, s.encodeBeacon(own, gossipInterval(len(s.view.Peers()))))
+		s.sendDatagram(&b, transferBeacons, s.encodeBeacon(own, gossipInterval(s.view.Len())))
 	}
 	if table := s.table.Load(); table == nil && b.Revision > 0 || table != nil && b.Revision > table.Revision() {
-		for _, peer := range s.view.Peers() {
-			if peer.Beacon().Host != b.Host {
-				continue
-			}
-			select {
-			case s.fetchRequests <- peer:
-			default:
-			}
+		peer, ok := s.view.Peer(b.Host)
+		if !ok {
+			return
+		}
+		select {
+		case s.fetchRequests <- peer:
+		default:
 		}
 	}
 }
--- a/sidecar/handlers.go
+++ b/sidecar/handlers.go
@@ -130,7 +130,7 @@
 // read the fleet's entries or received another node's beacon, and is not
 // stopping.
 func (s *Sidecar) Ready() bool {
-	return s.table.Load() != nil && !s.stopping.Load() && (s.fleetRead.Load() || len(s.view.Peers()) > 1)
+	return s.table.Load() != nil && !s.stopping.Load() && (s.fleetRead.Load() || s.view.Len() > 1)
 }
 
 func (s *Sidecar) metricsHandler() http.Handler {
--- a/sidecar/hops.go
+++ b/sidecar/hops.go
@@ -60,7 +60,7 @@
 
 // pool returns the connections to a node. It closes those to an earlier
 // incarnation, which are unusable.
-func (s *sender) pool(b fleet.Beacon) *http1.Pool {
+func (s *sender) pool(b *fleet.Beacon) *http1.Pool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[b.CallAddress]
@@ -75,7 +75,7 @@
 }
 
 // dropPool closes the idle connections to a node that has become silent.
-func (s *sender) dropPool(b fleet.Beacon) {
+func (s *sender) dropPool(b *fleet.Beacon) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pools[b.CallAddress]; p != nil {
--- a/sidecar/joining.go
+++ b/sidecar/joining.go
@@ -27,7 +27,7 @@
 	// or theirs, mostly for a few seconds.
 	isolationWait = 4 * time.Second
 	// joinPollInterval is the pause between checks whether another node was heard.
-	joinPollInterval = 20 * time.Millisecond
+	joinPollInterval = 50 * time.Millisecond
 	// localRosterWait is how long a node waits for one of its own failure domain,
 	// whose roster costs nothing, when it has heard others.
 	localRosterWait = 60 * time.Millisecond
@@ -47,7 +47,7 @@
 
 // joined reports whether this node hears from another one.
 func (s *Sidecar) joined() bool {
-	if len(s.view.Live(s.settings.Load().Host())) == 0 {
+	if !s.view.HasLive(s.settings.Load().Host()) {
 		return false
 	}
 	s.lastJoined.Store(int64(s.clock.Now().Sub(s.started)))
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -101,11 +101,11 @@
 		return min(pause, remaining), nil
 	}
 	if *lease == 0 {
-		known := len(s.view.Peers())
+		known := s.view.Len()
 		if err := s.readFleet(lease, false); err != nil {
 			return 0, err
 		}
-		if len(s.view.Peers()) > known {
+		if s.view.Len() > known {
 			return pause, nil
 		}
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
 	"github.com/banyancross/banyancross/clock"
@@ -96,6 +97,10 @@
 	// nodes of the latest.
 	beaconRound        int
 	beaconedEntryNodes map[string]bool
+	// nodeLines limits the log lines about other nodes, and nodeLinesOmitted counts
+	// those left out since the latest.
+	nodeLines        *rate.Limiter
+	nodeLinesOmitted int
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -137,8 +142,8 @@
 		clock: clock.System{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
 		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, view: fleet.NewView(), blocklist: quarantine.NewBlocklist(),
 		stateChanged: make(chan struct{}, 1), loadChanged: make(chan struct{}, 1), estimateChanged: make(chan struct{}, 1),
-		fetchRequests: make(chan fleet.Peer, 1),
-		rng:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		fetchRequests: make(chan fleet.Peer, 1), nodeLines: rate.NewLimiter(nodeLinesPerSecond, nodeLinesBurst),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
 		option(s)
@@ -313,12 +318,8 @@
 // UpstreamAvailable reports whether calls may be sent to the upstream of a
 // host.
 func (s *Sidecar) UpstreamAvailable(host string) bool {
-	for _, peer := range s.view.Peers() {
-		if b := peer.Beacon(); b.Host == host {
-			return b.Phase == fleet.Ready && !peer.Silent()
-		}
-	}
-	return false
+	peer, ok := s.view.Peer(host)
+	return ok && peer.Beacon().Phase == fleet.Ready && !peer.Silent()
 }
 
 // Running returns how many calls run at this host's upstream.
