routing: a silent upstream counts as loaded as its group; declined hedges go on

Cause: in a large fleet most upstreams have sent a node no report of the last 600 ms, and counted as idle: a full failure domain was tried first, always. A hedge that the gate of a slow host declined was the last one.

A declined hedge is sent to another upstream (test).

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -287,6 +287,30 @@
 		Entry("goes to another one if its transfer costs little", int64(400), false),
 	)
 
+	It("is hedged again when the gate of the hedge declines it", func() {
+		var mu sync.Mutex
+		hedges := 0
+		sender, address := start(setup{
+			idempotent: true, attempts: 2, hosts: 4, budget: largeBudget, timeout: time.Second, objective: 100 * time.Millisecond,
+		}, func(_ string, meta hop.Meta) *egress.Answer {
+			mu.Lock()
+			defer mu.Unlock()
+			if !meta.Repeated {
+				return nil
+			}
+			hedges++
+			if hedges == 1 {
+				return egress.Refusal(call.NotRun, call.ReasonSlowed)
+			}
+			return nil
+		})
+		began := time.Now()
+		Expect(get(address, "a").StatusCode).To(Equal(http.StatusGatewayTimeout))
+		attempts := sender.attempts()
+		Expect(attempts).To(HaveLen(3))
+		Expect(attempts[2].at.Sub(began)).To(BeNumerically("<", 300*time.Millisecond), "the second hedge follows at once")
+	})
+
 	DescribeTable("that takes long is hedged",
 		func(bytes int64, attempts int) {
 			loads := []call.Load{{Limit: 10}, {Limit: 10}, {Limit: 10}}
--- a/ingress/placement.go
+++ b/ingress/placement.go
@@ -71,7 +71,8 @@
 	candidates := make([]routing.Candidate, len(peers))
 	for i, peer := range peers {
 		b := peer.Beacon()
-		candidates[i] = routing.NewCandidate(peer.Key(), b.Slots, 0, !s.local(peer)).WithTransferBytes(bytes)
+		candidates[i] = routing.NewCandidate(peer.Key(), b.Slots, 0, !s.local(peer)).
+			WithTransferBytes(bytes).WithGroup(peer.Group())
 	}
 	return peers[s.in.policy.Choose(now, candidates)]
 }
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -32,13 +32,6 @@
 	// sampleWeight is the weight of a new sample in a route's moving averages,
 	// which thus cover about the last 20 calls.
 	sampleWeight = 0.05
-	// hedgeDelayShare is the share of the latency objective after which an
-	// idempotent request is sent to a second upstream, which then has as much
-	// time as the first had.
-	hedgeDelayShare = 0.5
-	// hedgeReserveShare is the share of the retry budget that hedges leave for
-	// retries of failed attempts: as much as hedges may spend.
-	hedgeReserveShare = 0.5
 	// defaultObjective is the latency objective of a route that sets none. A user
 	// who waits for a page notices longer times.
 	defaultObjective = 500 * time.Millisecond
@@ -117,7 +110,9 @@
 			if s.handleResult(&r) {
 				return &r
 			}
-			if len(s.inFlight) == 0 && !s.retry(ctx) {
+			if len(s.inFlight) > 0 {
+				s.rehedge(ctx, &r)
+			} else if !s.retry(ctx) {
 				return s.errorResult
 			}
 		case <-hedge:
@@ -204,15 +199,6 @@
 	return s.launch(ctx, false)
 }
 
-// hedgeTimer returns a channel that fires when the request should be hedged, nil
-// if it must not be.
-func (s *session) hedgeTimer() <-chan time.Time {
-	if !s.route.Idempotent || s.request.Rest != nil || s.route.MaxAttempts < 2 {
-		return nil
-	}
-	return s.in.clock.After(time.Duration(hedgeDelayShare * float64(s.objective())))
-}
-
 func (s *session) objective() time.Duration {
 	if s.route.Objective > 0 {
 		return s.route.Objective
@@ -220,15 +206,6 @@
 	return defaultObjective
 }
 
-// launchHedge sends the request to a second upstream while the first attempt is
-// still in flight.
-func (s *session) launchHedge(ctx context.Context) {
-	if len(s.inFlight) != 1 || s.attempts >= s.route.MaxAttempts {
-		return
-	}
-	s.launch(ctx, true)
-}
-
 // launch sends the request to the upstream with the least expected cost. It
 // returns false if none is left, or a limit or the retry budget forbids it.
 func (s *session) launch(ctx context.Context, hedge bool) bool {
--- a/routing/least_cost.go
+++ b/routing/least_cost.go
@@ -16,9 +16,8 @@
 	// work on a shared host changes within that time.
 	slowdownLifetime = 150 * time.Millisecond
 	// remoteCost is the cost of another failure domain, in shares of an upstream's
-	// capacity. A call gains nothing from an upstream that is merely less busy, as
-	// long as the nearer one answers within the latency objective.
-	remoteCost = 0.6
+	// capacity: two more link delays each way, and the heads of the messages.
+	remoteCost = 0.3
 	// DefaultTransferUnit is the default of WithTransferUnit.
 	DefaultTransferUnit = 12 << 10
 	// maxTransferCost bounds the cost of a long transfer, so that a remote upstream
@@ -41,6 +40,13 @@
 	// maxUpstreams bounds the tracked upstreams. At the bound all are dropped: most
 	// have left long before, and the others soon report again.
 	maxUpstreams = 4096
+	// groupSampleWeight is the weight of a report in the mean of its group, which thus
+	// covers about the last 10 reports, and groupLifetime how long the mean is valid.
+	groupSampleWeight = 0.1
+	groupLifetime     = 3 * time.Second
+	// maxGroupCost bounds a report in the mean of its group, so that one slow host
+	// does not stand for all.
+	maxGroupCost = 1.5
 	// maxJitter spreads the choices of nodes with the same information; it is
 	// about the load that one call adds to an upstream with few slots.
 	maxJitter = 0.15
@@ -54,6 +60,7 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	upstreams map[string]*upstreamState
+	groups    map[string]*groupState
 }
 
 // Option configures a LeastCost.
@@ -63,6 +70,24 @@
 // costs as much as the whole capacity of an upstream.
 func WithTransferUnit(bytes int64) Option { return func(p *LeastCost) { p.transferUnit = bytes } }
 
+// groupState is the mean cost of the loads that the upstreams of a group reported. It
+// stands for the load of those that did not report lately, as most do not in a large
+// fleet.
+type groupState struct {
+	mean       float64
+	reportedAt time.Time
+}
+
+// add adds a report to the mean.
+func (g *groupState) add(now time.Time, cost float64) {
+	weight := groupSampleWeight
+	if now.Sub(g.reportedAt) > groupLifetime {
+		weight = 1
+	}
+	g.mean += weight * (cost - g.mean)
+	g.reportedAt = now
+}
+
 // upstreamState is the load and the failures of one upstream.
 type upstreamState struct {
 	inFlight   int
@@ -70,13 +95,37 @@
 	reportedAt time.Time
 	penalty    float64
 	penaltyAt  time.Time
+	group      string
+}
+
+// report records a load report of the upstream; p.mu must be held.
+func (p *LeastCost) report(now time.Time, u *upstreamState, load call.Load) {
+	u.load, u.reportedAt = load, now
+	if u.group == "" || load.Limit == 0 {
+		return
+	}
+	g := p.groups[u.group]
+	if g == nil {
+		g = &groupState{}
+		p.groups[u.group] = g
+	}
+	g.add(now, min(loadCost(load), maxGroupCost))
+}
+
+// loadCost returns the cost of a load in shares of an upstream's capacity.
+func loadCost(load call.Load) float64 {
+	cost := float64(load.Running+load.Waiting) / float64(load.Limit)
+	if load.Slowdown > 1 {
+		cost += float64(load.Slowdown-1) / 4
+	}
+	return cost
 }
 
 var _ Policy = (*LeastCost)(nil)
 
 // NewLeastCost returns a LeastCost that draws its jitter from rng.
 func NewLeastCost(rng *rand.Rand, options ...Option) *LeastCost {
-	p := &LeastCost{rng: rng, transferUnit: DefaultTransferUnit, upstreams: map[string]*upstreamState{}}
+	p := &LeastCost{rng: rng, transferUnit: DefaultTransferUnit, upstreams: map[string]*upstreamState{}, groups: map[string]*groupState{}}
 	for _, option := range options {
 		option(p)
 	}
@@ -100,6 +149,7 @@
 			best, lowest = i, cost
 		}
 	}
+	p.upstream(candidates[best].name).group = candidates[best].group
 	return best
 }
 
@@ -112,11 +162,13 @@
 	}
 	u := p.upstreams[candidate.name]
 	if u == nil {
-		return cost
+		return cost + p.groupCost(now, candidate.group)
 	}
 	running, limit := float64(u.inFlight), float64(max(candidate.slots, 1))
 	age := now.Sub(u.reportedAt)
-	if age < loadLifetime {
+	if age >= loadLifetime {
+		cost += p.groupCost(now, candidate.group)
+	} else {
 		running = max(running, float64(u.load.Running+u.load.Waiting))
 		if u.load.Limit > 0 {
 			limit = float64(u.load.Limit)
@@ -132,6 +184,16 @@
 	return cost + u.decayedPenalty(now)
 }
 
+// groupCost returns the expected cost of the load of an upstream of a group that did
+// not report lately; p.mu must be held.
+func (p *LeastCost) groupCost(now time.Time, group string) float64 {
+	g := p.groups[group]
+	if g == nil || now.Sub(g.reportedAt) > groupLifetime {
+		return 0
+	}
+	return g.mean
+}
+
 // decayedPenalty returns the present penalty for failed connections.
 func (u *upstreamState) decayedPenalty(now time.Time) float64 {
 	if u.penalty == 0 {
@@ -170,7 +232,7 @@
 	u := p.upstream(name)
 	u.inFlight = max(u.inFlight-1, 0)
 	if result.Load != nil {
-		u.load, u.reportedAt = *result.Load, now
+		p.report(now, u, *result.Load)
 	}
 	if result.Load == nil && (result.Reason == call.ReasonConnection || result.Reason == call.ReasonCut) {
 		u.penalty, u.penaltyAt = min(u.decayedPenalty(now)+connFailureCost, 4*connFailureCost), now
@@ -181,15 +243,14 @@
 func (p *LeastCost) UpdateLoad(now time.Time, name string, load call.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := p.upstream(name)
-	u.load, u.reportedAt = load, now
+	p.report(now, p.upstream(name), load)
 }
 
 func (p *LeastCost) upstream(name string) *upstreamState {
 	u := p.upstreams[name]
 	if u == nil {
 		if len(p.upstreams) >= maxUpstreams {
-			p.upstreams = map[string]*upstreamState{}
+			p.upstreams, p.groups = map[string]*upstreamState{}, map[string]*groupState{}
 		}
 		u = &upstreamState{}
 		p.upstreams[name] = u
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -13,6 +13,7 @@
 	rtt           time.Duration
 	remote        bool
 	transferBytes int64
+	group         string
 }
 
 // NewCandidate describes an upstream; rtt is the round-trip time to it, and
@@ -28,6 +29,13 @@
 	return c
 }
 
+// WithGroup returns the candidate as one of the named group, whose upstreams have
+// similar loads.
+func (c Candidate) WithGroup(name string) Candidate {
+	c.group = name
+	return c
+}
+
 // Name returns the upstream's name.
 func (c Candidate) Name() string { return c.name }
 
