--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -77,20 +77,11 @@
 		Depth: s.depth, Repeated: a.repeated, MinSlowdown: a.minSlowdown, EntryHost: s.in.host, Route: s.route.Name, Fingerprint: s.fingerprint,
 	}
 	if !a.declinable {
-		meta.MaxWait = min(s.maxWait(now), remaining/2)
+		meta.MaxWait = s.maxWait(now, remaining)
 	}
 	return meta
 }
 
-// maxWait returns how long the request may be queued at a gate: the time that
-// the mean duration of an attempt leaves of the latency objective, within
-// minWaitShare and maxWaitShare of the objective.
-func (s *session) maxWait(now time.Time) time.Duration {
-	objective := float64(s.objective())
-	slack := s.objective() - now.Sub(s.received) - s.in.meanTime(s.route.Name)
-	return min(max(slack, time.Duration(minWaitShare*objective)), time.Duration(maxWaitShare*objective))
-}
-
 // meanTime returns the mean duration of an answered attempt of a route.
 func (in *Ingress) meanTime(name string) time.Duration {
 	in.mu.Lock()
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -24,11 +24,6 @@
 	// maxPicks bounds the gates that a request is sent to: those that may decline
 	// it, those that may queue it, and one more.
 	maxPicks = maxDeclinablePicks + maxQueuedPicks + 1
-	// maxWaitShare and minWaitShare bound the wait limit at a gate, as shares of
-	// the latency objective. The maximum leaves as much time for the run as for
-	// the wait; within the minimum, one of an upstream's many runs ends.
-	maxWaitShare = 0.4
-	minWaitShare = 0.15
 	// sampleWeight is the weight of a new sample in a route's moving averages,
 	// which thus cover about the last 20 calls.
 	sampleWeight = 0.05
--- /dev/null
+++ b/ingress/waiting.go
@@ -0,0 +1,33 @@
+package ingress
+
+import "time"
+
+// The decisions in this file answer parents that hold a slot while their nested calls
+// wait for one: a nested call that is refused wastes the run of its parent, so it
+// waits as long as it can still be answered, and a request of a caller only as long as
+// it would be in time.
+
+const (
+	// maxWaitShare and minWaitShare bound the wait limit at a gate, as shares of
+	// the latency objective. The maximum leaves as much time for the run as for
+	// the wait; within the minimum, one of an upstream's many runs ends.
+	maxWaitShare = 0.4
+	minWaitShare = 0.15
+	// remainingWaitShare bounds the wait limit at a gate, as a share of the time left.
+	remainingWaitShare = 0.5
+)
+
+// maxWait returns how long the request may be queued at a gate: a nested call for
+// half of the time left, another request for the time that the mean duration of an
+// attempt leaves of the latency objective, within minWaitShare and maxWaitShare of
+// the objective.
+func (s *session) maxWait(now time.Time, remaining time.Duration) time.Duration {
+	limit := time.Duration(remainingWaitShare * float64(remaining))
+	if s.depth > 0 {
+		return limit
+	}
+	objective := float64(s.objective())
+	slack := s.objective() - now.Sub(s.received) - s.in.meanTime(s.route.Name)
+	wait := min(max(slack, time.Duration(minWaitShare*objective)), time.Duration(maxWaitShare*objective))
+	return min(wait, limit)
+}
