ingress: rejections by an upstream do not use up the route's attempts

Change: only sends that ran or may have run count as attempts; arrivals, rejected ones included, are charged to the retry budget as before, and bound by the number of picks. Test: an upstream that rejects three times does not end the request.

--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -73,7 +73,7 @@
 	}
 	o := Observation{
 		ID: s.headers.ID(), Service: s.service, Status: status, Outcome: outcome, Reason: reason,
-		Attempts: s.attempts, Picks: s.picks, Elapsed: elapsed, Trail: s.trail,
+		Attempts: s.arrivals, Picks: s.picks, Elapsed: elapsed, Trail: s.trail,
 	}
 	if s.table != nil {
 		o.Revision = s.table.Revision()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -186,6 +186,26 @@
 		Expect(sender.attempts()[1].meta.Repeated).To(BeTrue())
 	})
 
+	// The pattern: most upstreams of a service reject a share of what they get.
+	It("goes on after rejections by upstreams, which have not run it", func() {
+		rejections := 0
+		sender, address := start(setup{attempts: 2, hosts: 6, budget: largeBudget}, func(string, hop.Meta) *egress.Answer {
+			rejections++
+			answer := egress.Refusal(call.NotRun, call.ReasonRejected)
+			if rejections > 3 {
+				answer = egress.Refusal(call.Unknown, call.ReasonConnection)
+			}
+			answer.Meta.ReachedUpstream = true
+			return answer
+		})
+		Expect(get(address, "a").StatusCode).To(Equal(http.StatusBadGateway))
+		attempts := sender.attempts()
+		Expect(attempts).To(HaveLen(4), "it is not repeated once it may have run")
+		for _, a := range attempts {
+			Expect(a.meta.Repeated).To(BeFalse())
+		}
+	})
+
 	It("does not get a 503 when an earlier attempt may have run", func() {
 		first := true
 		_, address := start(setup{idempotent: true, attempts: 2, hosts: 2, budget: largeBudget}, func(string, hop.Meta) *egress.Answer {
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -61,8 +61,9 @@
 	// may queue the request.
 	picks       int
 	queuedPicks int
-	// attempts counts the sends that reached an upstream or still may.
-	attempts int
+	// attempts counts the sends that ran at an upstream or still may, and arrivals
+	// those that reached one or still may.
+	attempts, arrivals int
 	// outcomeUnknown means that an attempt without a response may have run.
 	outcomeUnknown bool
 	// reason is why the latest attempt failed.
@@ -137,6 +138,7 @@
 		s.reason = call.ReasonFailed
 	case meta.Outcome == call.NotRun && !meta.ReachedUpstream:
 		s.attempts--
+		s.arrivals--
 		if r.attempt.charged {
 			s.in.retryBudgets.refund(s.in.clock.Now(), s.service)
 		}
@@ -145,6 +147,11 @@
 			s.declinedLocal[r.attempt.peer.Beacon().Host] = true
 		}
 	case meta.Outcome == call.NotRun:
+		// The upstream rejected the request.
+		s.attempts--
+		if !r.attempt.declinable {
+			s.queuedPicks--
+		}
 		s.reason = meta.Reason
 	default:
 		s.outcomeUnknown = true
@@ -213,7 +220,7 @@
 		return false
 	}
 	now := s.in.clock.Now()
-	charged := s.attempts > 0
+	charged := s.arrivals > 0
 	if charged && !s.spendRetry(now, peers[0].Beacon().Fanout, hedge) {
 		return false
 	}
@@ -224,6 +231,7 @@
 	}
 	s.picks++
 	s.attempts++
+	s.arrivals++
 	s.tried[name] = true
 	delete(s.declinedLocal, name)
 	attemptCtx, cancel := context.WithCancel(ctx)
