sidecar: a store that fails is called with a backoff also by anchors and lone nodes

Cause: found on reading the code again. The pause after a failed registration ended after 250 ms whenever the node still had to register, so an outage made each anchor and each node that hears no other one call the store four times a second.

Change: after a failure the node sleeps for the whole backoff. Test: at most 7 calls in 4 s of a store that does not answer; 15 before.

--- a/sidecar/joining_test.go
+++ b/sidecar/joining_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -134,6 +135,15 @@
 		Expect([]int64{a.sidecar.Incarnation(), b.sidecar.Incarnation()}).To(Equal(before))
 	})
 
+	It("calls a store that does not answer less and less often", func() {
+		f := newTestFleet()
+		store := &countingStore{listOnlyStore: listOnlyStore{Client: platform.NewClient("127.0.0.1:1")}}
+		f.add(sidecar.WithStore(store))
+		time.Sleep(4 * time.Second)
+		// 0.15, 0.3, 0.6, 1.2 and 2 s between the calls, a quarter less at random.
+		Expect(store.reads.Load()).To(BeNumerically("<=", 7))
+	})
+
 	It("works without the store for a node that has read the entries once", func() {
 		f := newTestFleet()
 		f.publish(1)
@@ -147,6 +157,17 @@
 	})
 })
 
+// countingStore is a store that counts range reads and answers none.
+type countingStore struct {
+	listOnlyStore
+	reads atomic.Int64
+}
+
+func (s *countingStore) List(context.Context, string, bool) ([]platform.Entry, uint64, error) {
+	s.reads.Add(1)
+	return nil, 0, errNoAnswer
+}
+
 // listOnlyStore is a store that answers nothing but one range read.
 type listOnlyStore struct {
 	*platform.Client
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -66,9 +66,12 @@
 		failing = err != nil
 		if failing {
 			wait, backoff = backoff, min(2*backoff, maxRenewalBackoff)
-		} else {
-			backoff = minStoreBackoff
+			if !s.sleep(s.jittered(wait)) {
+				return nil
+			}
+			continue
 		}
+		backoff = minStoreBackoff
 		if !s.pauseRegistration(s.jittered(wait)) {
 			return nil
 		}
