--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -216,25 +216,35 @@
 
 // fetch fetches a node's configuration and applies it.
 func (s *Sidecar) fetch(peer fleet.Peer, path string, timeout time.Duration) error {
+	data, err := s.get(peer, path, timeout, maxConfigurationBytes)
+	if err != nil {
+		return err
+	}
+	s.applyConfiguration(data, peer.Beacon().Host)
+	return nil
+}
+
+// get fetches a document of at most limit bytes from a node.
+func (s *Sidecar) get(peer fleet.Peer, target string, timeout time.Duration, limit int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(s.context(), timeout)
 	defer cancel()
-	response, err := s.sender.pool(peer.Beacon()).Do(ctx, &http1.OutgoingRequest{
-		Method: http.MethodGet, Target: path, Host: peer.Beacon().CallAddress, Header: http.Header{},
+	b := peer.Beacon()
+	response, err := s.sender.pool(b).Do(ctx, &http1.OutgoingRequest{
+		Method: http.MethodGet, Target: target, Host: b.CallAddress, Header: http.Header{},
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer response.Release()
-	data, complete, err := response.Body.Buffer(maxConfigurationBytes)
+	data, complete, err := response.Body.Buffer(limit)
 	switch {
 	case err != nil:
-		return err
+		return nil, err
 	case !complete || response.Status != http.StatusOK:
-		return eris.Errorf("status %d, complete body: %t", response.Status, complete)
+		return nil, eris.Errorf("status %d, complete body: %t", response.Status, complete)
 	}
-	if peer.Beacon().FailureDomain != s.settings.Load().FailureDomain() {
-		s.transfers.add(transferConfigurations, len(data))
+	if b.FailureDomain != s.settings.Load().FailureDomain() {
+		s.transfers.add(transferDocuments, len(data))
 	}
-	s.applyConfiguration(data, peer.Beacon().Host)
-	return nil
+	return data, nil
 }
--- a/sidecar/joining.go
+++ b/sidecar/joining.go
@@ -1,12 +1,10 @@
 package sidecar
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/rotisserie/eris"
 
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/http1"
@@ -128,30 +126,15 @@
 
 // fetchRoster fetches the roster of a node and greets the nodes in it.
 func (s *Sidecar) fetchRoster(peer fleet.Peer) error {
-	ctx, cancel := context.WithTimeout(s.context(), rosterTimeout)
-	defer cancel()
-	response, err := s.sender.pool(peer.Beacon()).Do(ctx, &http1.OutgoingRequest{
-		Method: http.MethodGet, Target: rosterPath + "?" + s.settings.Load().Host(), Host: peer.Beacon().CallAddress, Header: http.Header{},
-	})
+	conf := s.settings.Load()
+	data, err := s.get(peer, rosterPath+"?"+conf.Host(), rosterTimeout, maxRosterBytes)
 	if err != nil {
 		return err
 	}
-	defer response.Release()
-	data, complete, err := response.Body.Buffer(maxRosterBytes)
-	switch {
-	case err != nil:
-		return err
-	case !complete || response.Status != http.StatusOK:
-		return eris.Errorf("status %d, complete body: %t", response.Status, complete)
-	}
 	roster, err := fleet.DecodeRoster(data)
 	if err != nil {
 		return err
 	}
-	conf := s.settings.Load()
-	if peer.Beacon().FailureDomain != conf.FailureDomain() {
-		s.transfers.add(transferConfigurations, len(data))
-	}
 	others := roster[:0]
 	for _, b := range roster {
 		if b.Host == conf.Host() {
--- a/sidecar/transfer.go
+++ b/sidecar/transfer.go
@@ -26,14 +26,15 @@
 	transferRefused
 	transferBeacons
 	transferNotices
-	transferConfigurations
+	// transferDocuments counts configurations and rosters.
+	transferDocuments
 	transferKinds
 )
 
 // String returns the kebab-case name.
 func (k transferKind) String() string {
 	return [...]string{
-		"heads", "request-bodies", "response-bodies", "nested-calls", "refused-calls", "beacons", "notices", "configurations",
+		"heads", "request-bodies", "response-bodies", "nested-calls", "refused-calls", "beacons", "notices", "documents",
 	}[k]
 }
 
