--- a/ingress/hedging.go
+++ b/ingress/hedging.go
@@ -21,15 +21,10 @@
 	hedgeReserveShare = 0.25
 )
 
-// mayHedge reports whether the request may be sent to two upstreams at a time.
-func (s *session) mayHedge() bool {
-	return s.route.Idempotent && s.request.Rest == nil && s.route.MaxAttempts >= 2
-}
-
 // hedgeTimer returns a channel that fires when the request should be hedged, nil
 // if it must not be.
 func (s *session) hedgeTimer() <-chan time.Time {
-	if !s.mayHedge() {
+	if !s.route.Idempotent || s.request.Rest != nil || s.route.MaxAttempts < 2 {
 		return nil
 	}
 	return s.in.clock.After(time.Duration(hedgeDelayShare * float64(s.objective())))
--- a/routing/least_cost.go
+++ b/routing/least_cost.go
@@ -114,13 +114,13 @@
 
 // loadCost returns the cost of a load in shares of an upstream's capacity.
 func loadCost(load call.Load) float64 {
-	cost := float64(load.Running+load.Waiting) / float64(load.Limit)
-	if load.Slowdown > 1 {
-		cost += float64(load.Slowdown-1) / 4
-	}
-	return cost
+	return float64(load.Running+load.Waiting)/float64(load.Limit) + slowdownCost(load)
 }
 
+// slowdownCost returns the cost of a host's slowdown in shares of an upstream's
+// capacity.
+func slowdownCost(load call.Load) float64 { return max(0, float64(load.Slowdown-1)) / 4 }
+
 var _ Policy = (*LeastCost)(nil)
 
 // NewLeastCost returns a LeastCost that draws its jitter from rng.
@@ -175,8 +175,8 @@
 		}
 	}
 	cost += running / limit
-	if age < slowdownLifetime && u.load.Slowdown > 1 {
-		cost += float64(u.load.Slowdown-1) / 4
+	if age < slowdownLifetime {
+		cost += slowdownCost(u.load)
 	}
 	if age < loadLifetime && u.load.Failing {
 		cost += failingCost
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -117,14 +117,20 @@
 	case !s.settled.Load() && s.settings.Load().FirstStart():
 		return s.registered.Load()
 	}
-	return s.view.Rank(s.settings.Load().Host(), "", !s.settled.Load()).Selected(maxWatchers)
+	return s.watchRank().Selected(maxWatchers)
+}
+
+// watchRank returns this node's rank among those that may watch the store. Until it
+// has joined, nodes count that it knows only from the store.
+func (s *Sidecar) watchRank() fleet.Rank {
+	return s.view.Rank(s.settings.Load().Host(), "", !s.settled.Load())
 }
 
 // watchWait returns how long the next watch waits: until this node's slot in a
 // round of the watchers. A change ends all watches at once; without slots they
 // would all restart at the same time from then on.
 func (s *Sidecar) watchWait() time.Duration {
-	r := s.view.Rank(s.settings.Load().Host(), "", !s.settled.Load())
+	r := s.watchRank()
 	connected := min(r.Connected, maxWatchers)
 	return untilSlot(s.clock.Now(), r.ConnectedBefore%connected, connected)
 }
