--- a/review/standins/caller.go
+++ b/review/standins/caller.go
@@ -23,9 +23,11 @@
 	service serviceSpec
 	record  *record
 	method  string
-	conn    net.Conn
-	br      *bufio.Reader
-	used    bool
+	// prefix is that of the route, the service's name if it is empty.
+	prefix string
+	conn   net.Conn
+	br     *bufio.Reader
+	used   bool
 }
 
 func newCaller(h *host, service serviceSpec, rec *record) *caller {
@@ -86,7 +88,11 @@
 }
 
 func (c *caller) head(id, framing string) string {
-	return fmt.Sprintf("%s /%s/item HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n", c.method, c.service.name, callerHost,
+	prefix := c.prefix
+	if prefix == "" {
+		prefix = c.service.name
+	}
+	return fmt.Sprintf("%s /%s/item HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n", c.method, prefix, callerHost,
 		wire.ID, id, wire.Timeout, c.service.timeout.Milliseconds(), framing)
 }
 
--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -23,6 +23,7 @@
 	"early-answer":    earlyAnswer,
 	"endless-trailer": endlessTrailer,
 	"endless-error":   endlessError,
+	"lone-survivor":   loneSurvivor,
 }
 
 // traffic runs callers until it is stopped.
@@ -358,3 +359,70 @@
 			servedBefore, before, recoverTime, servedAfter, after),
 	}
 }
+
+const (
+	// darkTime is how long a machine has no power, and changeDelay how long after its
+	// loss the configuration changes.
+	darkTime    = 5 * time.Second
+	changeDelay = 2 * time.Second
+	// restTime is the time between two losses, and losses their number.
+	restTime = 6 * time.Second
+	losses   = 5
+	// configurationTime is the time within which a version must be in force.
+	configurationTime = 2 * time.Second
+)
+
+// loneSurvivor: one of two machines loses power for a while, several times. Two seconds
+// after each loss the configuration changes: it adds a route to a service whose
+// upstream runs on the other machine.
+func loneSurvivor(program string, rec *record, trouble bool) (verdict, error) {
+	lookup := lookupService()
+	other := lookup
+	other.name = "grosir"
+	f, err := newFleet(program, rec, lookup, other)
+	defer f.close()
+	if err != nil {
+		return verdict{}, err
+	}
+	stale, asked := 0, 0
+	var added []string
+	for i := range losses {
+		if trouble {
+			f.hosts[1].powerOff()
+		}
+		time.Sleep(changeDelay)
+		f.version++
+		prefix := fmt.Sprintf("added-%d", i+1)
+		added = append(added, prefix)
+		if err := f.publish(added...); err != nil {
+			return verdict{}, err
+		}
+		acknowledged := rec.elapsed()
+		c := newCaller(f.hosts[0], lookup, rec)
+		c.prefix = prefix
+		load := newTraffic()
+		load.add(func(stop <-chan struct{}) { c.run(stop, 20*time.Millisecond) })
+		time.Sleep(darkTime - changeDelay)
+		if trouble {
+			if err := f.hosts[1].powerOn(); err != nil {
+				return verdict{}, err
+			}
+		}
+		time.Sleep(restTime)
+		load.end()
+		for _, r := range rec.all() {
+			if r.sentAt < acknowledged+configurationTime {
+				continue
+			}
+			asked++
+			if r.status == http.StatusNotFound {
+				stale++
+				rec.add("VIOLATION %s was sent %.3f s after the ack of r%d and answered 404", r.id, (r.sentAt - acknowledged).Seconds(), f.version)
+			}
+		}
+	}
+	return verdict{
+		broken: stale > 0,
+		text:   fmt.Sprintf("of %d requests sent later than %s after the ack of the version that added their route, %d were answered 404", asked, configurationTime, stale),
+	}, nil
+}
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,6 +49,8 @@
 	process  *exec.Cmd
 	exited   chan struct{}
 	stopping bool
+	// dark means that the machine has no power.
+	dark bool
 	// deaths counts the ends of the process that the case did not order.
 	deaths int
 }
@@ -58,6 +61,11 @@
 	record *record
 	store  *http.Server
 	dir    string
+	// storeAddress is the address of the platform stand-in, and version the latest
+	// version of the configuration.
+	storeAddress string
+	version      int
+	services     []serviceSpec
 }
 
 // newFleet starts the platform stand-in, the upstreams and the nodes, one node for
@@ -75,7 +83,13 @@
 	}
 	f.store = &http.Server{Handler: standin.NewPlatform(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = f.store.Serve(listener) }()
-	if err := f.publish(listener.Addr().String(), services); err != nil {
+	f.storeAddress, f.version = listener.Addr().String(), firstVersion
+	for _, s := range services {
+		if !slices.ContainsFunc(f.services, func(known serviceSpec) bool { return known.name == s.name }) {
+			f.services = append(f.services, s)
+		}
+	}
+	if err := f.publish(); err != nil {
 		return f, err
 	}
 	for i, service := range services {
@@ -111,22 +125,23 @@
 	os.Exit(exitNotRun)
 }
 
-func (f *fleet) publish(store string, services []serviceSpec) error {
-	byName := map[string]bool{}
-	var distinct []serviceSpec
-	for _, s := range services {
-		if !byName[s.name] {
-			byName[s.name] = true
-			distinct = append(distinct, s)
-		}
-	}
-	data, err := configuration(distinct)
+// firstVersion is the version of the configuration at the start of the fleet.
+const firstVersion = 7
+
+// publish stores the configuration in its latest version, with routes for the added
+// prefixes, as the operator does.
+func (f *fleet) publish(added ...string) error {
+	data, err := configuration(f.version, f.services, added)
 	if err != nil {
 		return err
 	}
-	client := platform.NewClient(store)
+	client := platform.NewClient(f.storeAddress)
 	defer client.Close()
-	return client.Set(context.Background(), platform.ConfigurationKey, data)
+	if err := client.Set(context.Background(), platform.ConfigurationKey, data); err != nil {
+		return err
+	}
+	f.record.add("the store has acknowledged version r%d", f.version)
+	return nil
 }
 
 func (f *fleet) awaitReady() error {
@@ -240,7 +255,7 @@
 // the process again as the platform does.
 func (h *host) handleExit(err error, errorPath string) {
 	h.mu.Lock()
-	if h.stopping {
+	if h.stopping || h.dark {
 		h.mu.Unlock()
 		return
 	}
@@ -275,6 +290,25 @@
 	return lines
 }
 
+// powerOff ends the process, which does not start again before powerOn. Nobody but the
+// node reaches the upstream, which is therefore left running.
+func (h *host) powerOff() {
+	h.mu.Lock()
+	h.dark = true
+	process, exited := h.process, h.exited
+	h.mu.Unlock()
+	h.record.add("%s loses power", h.name)
+	_ = process.Process.Signal(syscall.SIGKILL)
+	<-exited
+}
+
+func (h *host) powerOn() error {
+	h.mu.Lock()
+	h.dark = false
+	h.mu.Unlock()
+	return h.start()
+}
+
 // kill ends the process for good.
 func (h *host) kill() {
 	h.mu.Lock()
@@ -306,11 +340,14 @@
 	for {
 		time.Sleep(memoryInterval)
 		h.mu.Lock()
-		process, stopping := h.process, h.stopping
+		process, stopping, dark := h.process, h.stopping, h.dark
 		h.mu.Unlock()
 		if stopping {
 			return
 		}
+		if dark {
+			continue
+		}
 		used := residentMemory(process.Process.Pid)
 		if used > memoryLimit {
 			h.record.add("platform kills process %d of %s: %d MB exceed %d MB", process.Process.Pid, h.name, used>>20, memoryLimit>>20)
--- a/review/standins/wire.go
+++ b/review/standins/wire.go
@@ -40,26 +40,32 @@
 // callerHost is the host name in all requests of callers.
 const callerHost = "shop.example"
 
-// configuration returns a configuration with one route for each service, whose
-// prefix is the service's name.
-func configuration(services []serviceSpec) ([]byte, error) {
+// configuration returns a version of the configuration with one route for each
+// service, whose prefix is the service's name, and one for each of the added prefixes,
+// which lead to the first service.
+func configuration(version int, services []serviceSpec, added []string) ([]byte, error) {
 	resources := []resource{{
 		TypeURL: "limits", Metadata: map[string]string{},
 		Spec: map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 64 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
 	}}
+	route := func(prefix string, s serviceSpec) resource {
+		return resource{TypeURL: "routes", Metadata: map[string]string{"name": "r-" + prefix}, Spec: map[string]any{
+			"host": callerHost, "prefix": "/" + prefix + "/", "type": s.kind, "timeout_ms": s.timeout.Milliseconds(),
+			"goal_ms": s.objective.Milliseconds(), "priority": 1, "service": s.name, "attempts": 2,
+		}}
+	}
+	for _, prefix := range added {
+		resources = append(resources, route(prefix, services[0]))
+	}
 	for _, s := range services {
-		resources = append(resources,
-			resource{TypeURL: "routes", Metadata: map[string]string{"name": "r-" + s.name}, Spec: map[string]any{
-				"host": callerHost, "prefix": "/" + s.name + "/", "type": s.kind, "timeout_ms": s.timeout.Milliseconds(),
-				"goal_ms": s.objective.Milliseconds(), "priority": 1, "service": s.name, "attempts": 2,
-			}},
+		resources = append(resources, route(s.name, s),
 			resource{TypeURL: "services", Metadata: map[string]string{"name": s.name}, Spec: map[string]any{
 				"health_path": "/healthz", "max_conns": 240, "protocol": "h1", "tls": false,
 			}})
 	}
-	return json.Marshal(map[string]any{"version": "r7", "resources": resources})
+	return json.Marshal(map[string]any{"version": fmt.Sprintf("r%d", version), "resources": resources})
 }
 
 // heartbeat returns the body of a heartbeat.
