--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -266,8 +266,8 @@
 	// quietTime is the time before the first spell of endlessError, and errorSpell how
 	// long each upstream is in trouble in each round.
 	quietTime   = 4 * time.Second
-	errorSpell  = 8500 * time.Millisecond
-	errorRounds = 2
+	errorSpell  = 7 * time.Second
+	errorRounds = 3
 	// arrivalsPerHost is the number of requests a second from the callers of a host, all
 	// hosts together about as many as one upstream can run.
 	arrivalsPerHost = 21
