egress: log why an upstream's response could not be received

A gate that lost a response logged only the reason `connection` or nothing: a body that was cut short, malformed or beyond a limit left no line at all, so the logs could not tell these causes apart. The line `run` now has the error, and `response-broken` reports a body that could not be read to its end, within the same limit on lines.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -180,6 +180,9 @@
 		Finish: func() {
 			response.Release()
 			finish(response.Body.Complete())
+			if err := response.Body.Err(); err != nil {
+				g.logBrokenResponse(meta, response, err)
+			}
 		},
 	}
 }
@@ -220,7 +223,9 @@
 func (g *Gate) failureAnswer(ctx context.Context, t target, meta hop.Meta, err error) *Answer {
 	if http1.KindOf(err) == http1.KindNotSent {
 		g.recordDialFailure(t, err)
-		return Refusal(call.NotRun, call.ReasonConnection)
+		answer := Refusal(call.NotRun, call.ReasonConnection)
+		answer.err = err
+		return answer
 	}
 	reason := call.ReasonConnection
 	switch context.Cause(ctx) {
@@ -234,6 +239,6 @@
 		reason = call.ReasonCancelled
 	}
 	answer := Refusal(call.Unknown, reason)
-	answer.Meta.ReachedUpstream = true
+	answer.Meta.ReachedUpstream, answer.err = true, err
 	return answer
 }
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -61,6 +61,9 @@
 	// Finish releases the call's slot and connection; call it once the response
 	// was read or is discarded. Further calls do nothing.
 	Finish func()
+	// err is why the upstream's response could not be received, nil if that is not
+	// the reason.
+	err error
 }
 
 // Refusal returns the answer to an attempt that got no response.
--- a/http1/body.go
+++ b/http1/body.go
@@ -44,6 +44,14 @@
 // Complete reports whether the body has been read to its end.
 func (b *Body) Complete() bool { return b.complete }
 
+// Err returns why the body could not be read to its end, nil if no read has failed.
+func (b *Body) Err() error {
+	if b.err == io.EOF {
+		return nil
+	}
+	return b.err
+}
+
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
 	if b.err != nil {
