http1: limit the trailer section of a body in chunks

Cause: Body.readTrailer collected the fields with textproto.Reader.ReadMIMEHeader, which has no limit, while the connection's own limit was off. It kept them until the call's deadline. The trailer of a caller's request was read in the same way.

Evidence: the added specs fail before the change. A peer that writes 8 MiB of trailer fields to a connection without a buffer gets rid of all of them (kind "" instead of "header too large"), and a request with such a trailer is answered 408 after 10 s instead of 431. 5 of 6 specs failed; the sixth reads a proper trailer.

The limit on heads now holds for trailers as well, 64 KiB. It ends the read, and the existing handling of a broken response does the rest.

--- a/http1/body.go
+++ b/http1/body.go
@@ -20,6 +20,7 @@
 // complete body, and io.ErrUnexpectedEOF if it was truncated.
 type Body struct {
 	source    *bufio.Reader
+	limited   *limitedReader
 	reader    io.Reader
 	length    int64
 	remaining int64
@@ -28,8 +29,9 @@
 	err       error
 }
 
-func newBody(br *bufio.Reader, length, limit int64) *Body {
-	b := &Body{source: br, length: length, remaining: length, limit: limit}
+// newBody returns the body of a message that br reads from limited.
+func newBody(br *bufio.Reader, limited *limitedReader, length, limit int64) *Body {
+	b := &Body{source: br, limited: limited, length: length, remaining: length, limit: limit}
 	switch length {
 	case 0:
 		b.complete, b.err = true, io.EOF
@@ -79,8 +81,13 @@
 	return n, err
 }
 
+// maxTrailer bounds the trailer section of a body in chunks, in bytes.
+const maxTrailer = 64 << 10
+
 // readTrailer reads and discards the trailer fields after the last chunk.
 func (b *Body) readTrailer() error {
+	b.limited.remaining = maxTrailer
+	defer func() { b.limited.remaining = unlimited }()
 	_, err := textproto.NewReader(b.source).ReadMIMEHeader()
 	switch err {
 	case nil:
@@ -88,7 +95,7 @@
 	case io.EOF:
 		return io.ErrUnexpectedEOF
 	}
-	return err
+	return classifyHeadError(err)
 }
 
 // Buffer reads up to limit bytes and reports whether they complete the body.
--- a/http1/head.go
+++ b/http1/head.go
@@ -45,7 +45,8 @@
 	conn      *clientConn
 }
 
-// limitedReader bounds how much of source is read for the head of a message.
+// limitedReader bounds how much of source is read for the head or the trailer section
+// of a message.
 type limitedReader struct {
 	source    io.Reader
 	remaining int64
@@ -54,7 +55,7 @@
 // unlimited is more bytes than any connection carries.
 const unlimited = 1 << 62
 
-var errHeadTooLarge = eris.New("message head exceeds its limit")
+var errHeadTooLarge = eris.New("message head or trailer section exceeds its limit")
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -67,7 +68,7 @@
 }
 
 // readRequest reads the head of a request and returns it with a Body for the rest.
-func readRequest(br *bufio.Reader, maxBody int64) (*Request, error) {
+func readRequest(br *bufio.Reader, limited *limitedReader, maxBody int64) (*Request, error) {
 	tp := textproto.NewReader(br)
 	line, err := tp.ReadLine()
 	if err != nil {
@@ -103,7 +104,7 @@
 	if length > maxBody {
 		return nil, newError("read request", KindBodyTooLarge, nil)
 	}
-	r.Body = newBody(br, length, maxBody)
+	r.Body = newBody(br, limited, length, maxBody)
 	return r, nil
 }
 
@@ -181,7 +182,7 @@
 }
 
 // readResponse reads the head of a response to a request of the given method.
-func readResponse(br *bufio.Reader, method string) (*Response, error) {
+func readResponse(br *bufio.Reader, limited *limitedReader, method string) (*Response, error) {
 	tp := textproto.NewReader(br)
 	line, err := tp.ReadLine()
 	if err != nil {
@@ -214,7 +215,7 @@
 		length, r.keepAlive = lengthUntilClose, false
 	}
 	r.Length = max(length, -1)
-	r.Body = newBody(br, length, unlimited)
+	r.Body = newBody(br, limited, length, unlimited)
 	return r, nil
 }
 
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -164,6 +164,25 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	DescribeTable("answers 431 to a request whose trailer section does not end", func(start, more string) {
+		// Guards against memory that grows with the bytes of a trailer.
+		served := false
+		_, address := serve(func(context.Context, *http1.Request, *http1.Reply) { served = true })
+		conn, br := dial(address)
+		_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"+start)
+		sent := make(chan int, 1)
+		go func() { sent <- writeUntilClosed(conn, more, 8<<20) }()
+		status, _, closing := readResponse(br)
+		Expect(status).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		Expect(closing).To(BeTrue())
+		Expect(conn.Close()).To(Succeed())
+		Eventually(sent).Should(Receive(BeNumerically("<", 8<<20)))
+		Expect(served).To(BeFalse())
+	},
+		Entry("many fields", "", "Rest: "+strings.Repeat("x", 4<<10)+"\r\n"),
+		Entry("one line", "Rest: ", strings.Repeat("x", 4<<10)),
+	)
+
 	It("announces the last response when it drains, and closes idle connections", func() {
 		server, address := serve(echo)
 		conn, br := dial(address)
@@ -186,6 +205,20 @@
 	})
 })
 
+// writeUntilClosed writes text again and again until the connection is closed or limit
+// bytes were written, and returns their number.
+func writeUntilClosed(conn net.Conn, text string, limit int) int {
+	sent := 0
+	for sent < limit {
+		n, err := io.WriteString(conn, text)
+		sent += n
+		if err != nil {
+			break
+		}
+	}
+	return sent
+}
+
 // failingReader fails each read.
 type failingReader struct{}
 
@@ -283,6 +316,40 @@
 		Entry("no HTTP response", "hello!"),
 	)
 
+	DescribeTable("reports a response whose trailer section does not end", func(start, more string) {
+		// Guards against memory that grows with the bytes of a trailer.
+		sent := make(chan int, 1)
+		p := http1.NewPool("x", func(context.Context, string) (net.Conn, error) {
+			ours, theirs := net.Pipe()
+			go func() {
+				defer GinkgoRecover()
+				_, err := http.ReadRequest(bufio.NewReader(theirs))
+				Expect(err).NotTo(HaveOccurred())
+				_, _ = io.WriteString(theirs, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"+start)
+				sent <- writeUntilClosed(theirs, more, 8<<20)
+				_ = theirs.Close()
+			}()
+			return ours, nil
+		}, clock.System{}, time.Minute)
+		DeferCleanup(p.Close)
+		_, err := get(p, "a")
+		Expect(http1.KindOf(err)).To(Equal(http1.KindHeaderTooLarge))
+		Eventually(sent).Should(Receive(BeNumerically("<", 128<<10)))
+	},
+		Entry("many fields", "", "Rest: "+strings.Repeat("x", 4<<10)+"\r\n"),
+		Entry("short fields", "", strings.Repeat("a:\r\n", 1<<10)),
+		Entry("one line", "Rest: ", strings.Repeat("x", 4<<10)),
+	)
+
+	It("reads a trailer section after a body in chunks", func() {
+		text := "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nA\r\n0\r\nSum: " +
+			strings.Repeat("x", 32<<10) + "\r\n\r\n"
+		p := newPool(script(text, text))
+		Expect(get(p, "a")).To(Equal("A"))
+		Expect(get(p, "a")).To(Equal("A"))
+		Expect(p.Opened()).To(Equal(uint64(1)))
+	})
+
 	It("reads a body without a length until the connection closes", func() {
 		Expect(get(newPool(script("HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it!")), "a")).To(Equal("all of it!"))
 	})
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -204,7 +204,7 @@
 	}
 	for stale := 0; ; {
 		c.limited.remaining = maxResponseHead
-		response, err := readResponse(c.br, out.Method)
+		response, err := readResponse(c.br, c.limited, out.Method)
 		if err != nil {
 			return nil, err
 		}
--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -107,7 +107,7 @@
 	if maxBody <= 0 {
 		maxBody = unlimited
 	}
-	r, err := readRequest(c.br, maxBody)
+	r, err := readRequest(c.br, c.limited, maxBody)
 	if err != nil {
 		c.reject(err)
 		return false
