sidecar: log when a node begins or ceases to watch the store

Whether a late configuration was due to the store, to the watching nodes or to a node that did not watch could not be told from the logs. The line has what decides: whether other nodes are heard, and the rank among them.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -60,9 +60,13 @@
 // node is among the watchers.
 func (s *Sidecar) watchConfiguration() error {
 	var last platform.Entry
-	backoff := minStoreBackoff
+	backoff, watching := minStoreBackoff, false
 	for s.tomb.Alive() {
-		if !s.shouldWatch() {
+		previous := watching
+		if watching = s.shouldWatch(); watching != previous {
+			s.logWatchRole(watching)
+		}
+		if !watching {
 			if !s.sleep(watchRoleInterval) {
 				return nil
 			}
@@ -120,6 +124,13 @@
 	return s.watchRank().Selected(maxWatchers)
 }
 
+// logWatchRole logs that this node begins or ceases to watch the store.
+func (s *Sidecar) logWatchRole(watching bool) {
+	r := s.watchRank()
+	_ = level.Info(s.logger).Log("event", "watch-role", "watching", watching, "joined", s.view.HasLive(s.settings.Load().Host()),
+		"live-before", r.LiveBefore, "connected-before", r.ConnectedBefore, "connected", r.Connected, "revision", s.Revision())
+}
+
 // watchRank returns this node's rank among those that may watch the store. Until it
 // has joined, nodes count that it knows only from the store.
 func (s *Sidecar) watchRank() fleet.Rank {
