--- a/sidecar/joining.go
+++ b/sidecar/joining.go
@@ -21,8 +21,8 @@
 	// joinTimeout is how long a node that has read the entries of others waits for
 	// one of them before it depends on the store alone.
 	joinTimeout = time.Second
-	// isolationWait is the same for a node that has lost all others. Its network is cut,
-	// or theirs, mostly for a few seconds.
+	// isolationWait is how long a node that has lost all others waits for one of them
+	// before it registers. Its network is cut, or theirs, mostly for a few seconds.
 	isolationWait = 4 * time.Second
 	// joinPollInterval is the pause between checks whether another node was heard.
 	joinPollInterval = 50 * time.Millisecond
--- a/sidecar/watch_test.go
+++ b/sidecar/watch_test.go
@@ -17,6 +17,9 @@
 	"github.com/banyancross/banyancross/sidecar"
 )
 
+// configurationTime is the time within which a configuration must be in force.
+const configurationTime = 2 * time.Second
+
 // hourBehind is a clock whose time of day is an hour behind.
 type hourBehind struct{ clock.System }
 
@@ -63,6 +66,18 @@
 		}
 	})
 
+	It("is watched by a node that has just lost all others", func() {
+		// Guards against a configuration that the only node left learns of too late.
+		f, a, b := twoHosts()
+		Eventually(a.sidecar.Settled).Should(BeTrue())
+		b.sidecar.Kill()
+		Eventually(a.sidecar.Nodes).Should(Equal(1))
+		// A watch from before the loss has ended by then.
+		Consistently(a.sidecar.Watches, "1500ms").Should(BeTrue())
+		f.publish(2)
+		Eventually(a.revision, configurationTime).Should(Equal("2"))
+	})
+
 	It("keeps the entry of a restarted node", func() {
 		f, a, b := twoHosts()
 		_, writes, _ := f.store.Calls()
