sidecar, fleet: nodes next in rank hear the watchers of the store often

In a large fleet the nodes that watch the store get a beacon to another node only in rotation, and that announces its interval; at 100 nodes a lost one counts as silent after up to 6 s. If all eight watchers are lost at once, nobody reads a new configuration for that long, and callers get 404 on its routes.

The spec "gets other watchers soon after all have been lost" fails before the change: none of 16 nodes gets beacons of all watchers at intervals that fit twice into the silence timeout.

Each watcher now sends a beacon in every round to the eight nodes that follow the watchers in rank, which then take over within a second; in the whole fleet that is 64 datagrams a round at most, whatever its size.

--- a/fleet/rank.go
+++ b/fleet/rank.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Rank is the position of a node among the live nodes in the order of the hashes of
 // their names, which is unrelated to failure domains. It selects the nodes with a
@@ -19,11 +23,36 @@
 	return r.ConnectedBefore < count && r.LiveBefore < 2*count
 }
 
+// rankBefore reports whether a host is ranked before another one.
+func rankBefore(host, other string) bool {
+	a, b := xxhash.Sum64String(host), xxhash.Sum64String(other)
+	return a < b || (a == b && host < other)
+}
+
+// FirstRanked returns the hosts of at most count nodes, the first in rank among those
+// that live and are not stopping.
+func (v *View) FirstRanked(count int) []string {
+	v.mu.Lock()
+	var hosts []string
+	for _, peer := range v.sorted {
+		if !peer.silent && !peer.beacon.Stopping {
+			hosts = append(hosts, peer.beacon.Host)
+		}
+	}
+	v.mu.Unlock()
+	slices.SortFunc(hosts, func(a, b string) int {
+		if rankBefore(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return hosts[:min(count, len(hosts))]
+}
+
 // Rank returns the rank of the named node among those of a failure domain, or
 // among all nodes if failureDomain is empty. Nodes that are stopping do not count,
 // and silent ones only if countSilent is set.
 func (v *View) Rank(host, failureDomain string, countSilent bool) Rank {
-	own := xxhash.Sum64String(host)
 	r := Rank{Connected: 1}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -32,8 +61,7 @@
 		if b.Host == host || b.Stopping || (peer.silent && !countSilent) || (failureDomain != "" && b.FailureDomain != failureDomain) {
 			continue
 		}
-		other := xxhash.Sum64String(b.Host)
-		before := other < own || (other == own && b.Host < host)
+		before := rankBefore(b.Host, host)
 		if before {
 			r.LiveBefore++
 		}
--- a/fleet/schedule_test.go
+++ b/fleet/schedule_test.go
@@ -15,11 +15,11 @@
 	DescribeTable("announces the next beacon", func(t fleet.Turn, interval time.Duration) {
 		Expect(schedule.Next(t)).To(Equal(interval))
 	},
-		Entry("to a caller", fleet.Turn{EntryNode: true}, schedule.Local),
-		Entry("to a caller in another domain", fleet.Turn{EntryNode: true, Remote: true, RemoteRound: true}, schedule.Remote),
-		Entry("not to a caller in another domain in each round", fleet.Turn{EntryNode: true, Remote: true, Rotation: true}, time.Duration(0)),
-		Entry("to a caller in another domain on a change", fleet.Turn{EntryNode: true, Remote: true, All: true}, schedule.Remote),
-		Entry("at once to a node that no longer calls", fleet.Turn{FormerEntryNode: true, Remote: true}, schedule.Gossip),
+		Entry("to a caller", fleet.Turn{Frequent: true}, schedule.Local),
+		Entry("to a caller in another domain", fleet.Turn{Frequent: true, Remote: true, RemoteRound: true}, schedule.Remote),
+		Entry("not to a caller in another domain in each round", fleet.Turn{Frequent: true, Remote: true, Rotation: true}, time.Duration(0)),
+		Entry("to a caller in another domain on a change", fleet.Turn{Frequent: true, Remote: true, All: true}, schedule.Remote),
+		Entry("at once to a node that no longer calls", fleet.Turn{WasFrequent: true, Remote: true}, schedule.Gossip),
 		Entry("to a node whose turn it is", fleet.Turn{Rotation: true}, schedule.Gossip),
 		Entry("to all on a change", fleet.Turn{All: true, Remote: true}, schedule.Gossip),
 		Entry("to nobody else", fleet.Turn{Remote: true, RemoteRound: true}, time.Duration(0)),
@@ -33,10 +33,10 @@
 		for round := range 400 {
 			now = now.Add(225 * time.Millisecond)
 			turn := fleet.Turn{
-				EntryNode: calls(round), FormerEntryNode: former, Remote: true,
+				Frequent: calls(round), WasFrequent: former, Remote: true,
 				RemoteRound: round%2 == 0, Rotation: round%148 == 0,
 			}
-			former = turn.EntryNode
+			former = turn.Frequent
 			intervals := fleet.Schedule{Local: 225 * time.Millisecond, Remote: 450 * time.Millisecond, Gossip: 148 * 225 * time.Millisecond}
 			if interval := intervals.Next(turn); interval > 0 {
 				sequence++
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -129,9 +129,9 @@
 	}
 }
 
-// broadcast sends a beacon to the nodes that send calls here, to those in other
-// failure domains in some rounds only, and to some of the others in rotation. If
-// toAll is set, it sends one to every node.
+// broadcast sends a beacon to the nodes that must notice soon when this one is lost, to
+// those in other failure domains in some rounds only, and to some of the others in
+// rotation. If toAll is set, it sends one to every node.
 func (s *Sidecar) broadcast(toAll bool) {
 	b := s.beacon()
 	s.view.Merge(s.clock.Now(), b)
@@ -142,15 +142,15 @@
 	s.beaconRound++
 	schedule := fleet.Schedule{Local: beaconInterval, Remote: remoteRounds * beaconInterval, Gossip: gossipInterval(len(peers))}
 	encoded := map[time.Duration][]byte{}
-	isEntryNode, wasEntryNode := s.entryNodes(), s.beaconedEntryNodes
-	s.beaconedEntryNodes = isEntryNode
+	isFrequent, wasFrequent := s.frequentNodes(), s.frequentBefore
+	s.frequentBefore = isFrequent
 	for i := range peers {
 		to := peers[i].Beacon()
 		if to.Host == b.Host {
 			continue
 		}
 		interval := schedule.Next(fleet.Turn{
-			EntryNode: isEntryNode[to.Host], FormerEntryNode: wasEntryNode[to.Host],
+			Frequent: isFrequent[to.Host], WasFrequent: wasFrequent[to.Host],
 			Remote: to.FailureDomain != b.FailureDomain, RemoteRound: s.beaconRound%remoteRounds == 0,
 			All: toAll, Rotation: targets[i],
 		})
@@ -229,6 +229,23 @@
 	return nodes
 }
 
+// frequentNodes returns the hosts of the nodes that must notice soon when this one is
+// lost: the entry nodes, and while this node watches the store, the next in rank after
+// the watchers. Other nodes in a large fleet notice only after many seconds, so that a
+// fleet that lost all watchers at once would miss configurations for as long.
+func (s *Sidecar) frequentNodes() map[string]bool {
+	nodes := s.entryNodes()
+	if !s.shouldWatch() {
+		return nodes
+	}
+	for i, host := range s.view.FirstRanked(2 * maxWatchers) {
+		if i >= maxWatchers {
+			nodes[host] = true
+		}
+	}
+	return nodes
+}
+
 // mergePeerEstimates passes the combined saturation estimates of the service's
 // other upstreams to the gate.
 func (s *Sidecar) mergePeerEstimates(b fleet.Beacon, peers []fleet.Peer) {
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -32,6 +32,16 @@
 // including itself.
 func (s *Sidecar) Nodes() int { return len(s.view.Live("")) }
 
+// AnnouncedInterval returns the interval that the latest beacon of another node
+// announces.
+func (s *Sidecar) AnnouncedInterval(host string) time.Duration {
+	peer, ok := s.view.Peer(host)
+	if !ok {
+		return time.Hour
+	}
+	return peer.Beacon().Interval
+}
+
 // Registered reports whether the node's entry is in the store.
 func (s *Sidecar) Registered() bool { return s.registered.Load() }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -93,10 +93,10 @@
 	// gossipCursor counts the beacons sent in rotation to nodes that send no
 	// calls here.
 	gossipCursor int
-	// beaconRound counts the rounds of beacons, and beaconedEntryNodes holds the entry
+	// beaconRound counts the rounds of beacons, and frequentBefore holds the frequent
 	// nodes of the latest.
-	beaconRound        int
-	beaconedEntryNodes map[string]bool
+	beaconRound    int
+	frequentBefore map[string]bool
 	// nodeLines limits the log lines about other nodes, and nodeLinesOmitted counts
 	// those left out since the latest.
 	nodeLines        *rate.Limiter
--- a/sidecar/watch_test.go
+++ b/sidecar/watch_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/clock"
+	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/sidecar"
 )
@@ -78,6 +79,45 @@
 		Eventually(a.revision, configurationTime).Should(Equal("2"))
 	})
 
+	It("gets other watchers soon after all have been lost", func() {
+		// Guards against a fleet that notices the loss of its watchers too late.
+		f := newTestFleet()
+		f.publish(1)
+		const nodes = 24
+		for range nodes {
+			f.add()
+		}
+		count := func() int {
+			some, _ := watching(f.hosts)
+			return len(some)
+		}
+		for _, h := range f.hosts {
+			Eventually(h.sidecar.Nodes).Should(Equal(nodes))
+			Eventually(h.sidecar.Settled).Should(BeTrue())
+		}
+		Eventually(count).Should(Equal(8))
+		some, others := watching(f.hosts)
+		hearAllOften := func() int {
+			nodes := 0
+			for _, h := range others {
+				often := true
+				for _, watcher := range some {
+					often = often && 2*h.sidecar.AnnouncedInterval(watcher.name) <= fleet.SilenceTimeout
+				}
+				if often {
+					nodes++
+				}
+			}
+			return nodes
+		}
+		Eventually(hearAllOften).Should(BeNumerically(">=", 8))
+		for _, h := range some {
+			h.sidecar.Kill()
+		}
+		f.publish(2)
+		Eventually(others[0].revision, configurationTime).Should(Equal("2"))
+	})
+
 	It("keeps the entry of a restarted node", func() {
 		f, a, b := twoHosts()
 		_, writes, _ := f.store.Calls()
