sidecar: skip stored estimates and entries that are out of range or misplaced

A saturation estimate that is NaN or infinite, left in the store by another writer, was averaged with those that the nodes of a service measure. The share of the slots in use no longer followed the measurements: too many calls at once where upstreams slow down near saturation.

Cause: only the types of the two numbers were checked. Evidence: 2 of the 3 entries of "ignores a stored saturation estimate that is malformed" fail before the change. An entry whose key is not that of the node it names is skipped as well.

--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"math"
 	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
 
 	"github.com/banyancross/banyancross/codec"
 	"github.com/banyancross/banyancross/egress"
@@ -44,6 +46,12 @@
 	Samples  float64 `cbor:"2,keyasint"`
 }
 
+// valid reports whether the estimate can be averaged with others; NaN and infinite
+// values cannot.
+func (e storedEstimate) valid() bool {
+	return e.Slowdown >= 0 && e.Slowdown <= math.MaxFloat32 && e.Samples >= 0 && e.Samples <= math.MaxFloat32
+}
+
 // register keeps this node's entry in the store while it is an anchor, and reads
 // those of the others: often until another node is heard, and then periodically.
 func (s *Sidecar) register() error {
@@ -229,6 +237,9 @@
 			continue
 		}
 		b, err := fleet.Decode(entry.Value())
+		if err == nil && entry.Key() != nodesPrefix+b.Host {
+			err = eris.Errorf("the entry is that of %q", b.Host)
+		}
 		if err != nil {
 			_ = level.Warn(s.logger).Log("event", "entry-skipped", "key", entry.Key(), "err", err)
 			continue
@@ -252,7 +263,11 @@
 // loadEstimate passes the stored saturation estimate of a service to the gate.
 func (s *Sidecar) loadEstimate(service string, entry platform.Entry) {
 	var stored storedEstimate
-	if err := codec.Unmarshal(entry.Value(), &stored); err != nil {
+	err := codec.Unmarshal(entry.Value(), &stored)
+	if err == nil && !stored.valid() {
+		err = eris.Errorf("slowdown %v of %v samples is out of range", stored.Slowdown, stored.Samples)
+	}
+	if err != nil {
 		_ = level.Warn(s.logger).Log("event", "entry-skipped", "key", entry.Key(), "err", err)
 		return
 	}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -446,15 +446,22 @@
 		Eventually(a.sidecar.Limit).Should(Equal(8))
 	})
 
-	It("ignores a stored saturation estimate that is malformed", func() {
+	DescribeTable("ignores a stored saturation estimate that is malformed", func(value []byte) {
 		f := newTestFleet()
-		f.store.Store("banyancross/findings/stock", []byte("noise"))
+		f.store.Store("banyancross/findings/stock", value)
 		f.publish(1)
 		a := f.add()
 		a.sendHeartbeat("ready")
 		f.waitUntilServedBy(a, "i-stock-1")
 		Expect(a.sidecar.Limit()).To(Equal(10))
-	})
+		// A later estimate counts.
+		a.sidecar.SetEstimate("stock", egress.SaturationEstimate{Slowdown: 1.6, Samples: 100})
+		Eventually(a.sidecar.Limit).Should(Equal(8))
+	},
+		Entry("noise", []byte("noise")),
+		Entry("no number", []byte{0xa2, 0x01, 0xf9, 0x7e, 0x00, 0x02, 0xf9, 0x7e, 0x00}),
+		Entry("infinite", []byte{0xa2, 0x01, 0xf9, 0x7c, 0x00, 0x02, 0xf9, 0x7c, 0x00}),
+	)
 
 	It("gets a newer configuration from another node when its watches of the store fail", func() {
 		f := newTestFleet()
