fleet: refuse beacons that name no usable node

An entry that another writer left under a node's name, with the highest incarnation, made all other nodes drop that node's beacons. Told of the later incarnation, the node raised its own beyond it, which overflowed; the others never heard it again, and calls were not sent to its upstream.

Cause: a decoded beacon was checked for missing fields only.

Entries, datagrams and rosters are now checked alike: addresses are IP numbers with a port, numbers are in range, and ratios are finite.

--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -86,14 +88,46 @@
 	if err := codec.Unmarshal(data, &b); err != nil {
 		return Beacon{}, malformed("decode", err)
 	}
-	if !b.complete() {
-		return Beacon{}, malformed("decode", eris.New("no host or no address"))
+	if err := b.validate(); err != nil {
+		return Beacon{}, malformed("decode", err)
 	}
 	return b, nil
 }
 
-// complete reports whether the beacon names a node and its addresses.
-func (b Beacon) complete() bool { return b.Host != "" && b.CallAddress != "" && b.GossipAddress != "" }
+const (
+	// maxIncarnation and maxSequence bound the numbers that order a node's beacons.
+	// They leave room for those that follow: an incarnation is a Unix time in
+	// nanoseconds, and a node raises its own above one that others know.
+	maxIncarnation = 1 << 62
+	maxSequence    = 1 << 62
+	// maxSlots bounds the slots of an upstream.
+	maxSlots = 1 << 16
+)
+
+// validate returns why the beacon names no node that can be called, nil if it does.
+func (b Beacon) validate() error {
+	if b.Host == "" {
+		return eris.New("no host")
+	}
+	for _, address := range []string{b.CallAddress, b.GossipAddress} {
+		if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
+			return eris.Errorf("address %q is not an IP number and port", address)
+		}
+	}
+	if b.Incarnation < 0 || b.Incarnation > maxIncarnation || b.Sequence > maxSequence {
+		return eris.Errorf("incarnation %d or sequence %d is out of range", b.Incarnation, b.Sequence)
+	}
+	if b.Slots < 0 || b.Slots > maxSlots {
+		return eris.Errorf("%d slots are out of range", b.Slots)
+	}
+	for _, ratio := range []float32{b.Load.Slowdown, b.Fanout, b.SaturationSlowdown, b.SaturationSamples} {
+		// The comparisons are false for NaN.
+		if !(ratio >= 0 && ratio <= math.MaxFloat32) {
+			return eris.Errorf("ratio %v is out of range", ratio)
+		}
+	}
+	return nil
+}
 
 // olderThan reports whether the beacon was sent before another one of its node.
 func (b Beacon) olderThan(other *Beacon) bool {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,9 +1,13 @@
 package fleet_test
 
 import (
+	"bytes"
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -18,9 +22,15 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
+// gossipAddress returns an address of a host's own.
+func gossipAddress(host string) string {
+	hash := xxhash.Sum64String(host)
+	return fmt.Sprintf("10.0.%d.%d:2", hash>>8&0xff, hash&0xff)
+}
+
 func beacon(host string, incarnation int64, sequence uint64) fleet.Beacon {
 	return fleet.Beacon{
-		Host: host, Incarnation: incarnation, Sequence: sequence, CallAddress: "10.0.0.1:1", GossipAddress: "10.0.0.1:2-" + host,
+		Host: host, Incarnation: incarnation, Sequence: sequence, CallAddress: "10.0.0.1:1", GossipAddress: gossipAddress(host),
 		Service: "stock", Upstream: "i-" + host, Phase: fleet.Ready,
 	}
 }
@@ -127,6 +137,38 @@
 		Entry("noise", []byte("hello")),
 		Entry("without a host", []byte{0xa0}),
 		Entry("with a field of another type", []byte{0xa1, 0x01, 0x05}),
+		Entry("deeply nested", bytes.Repeat([]byte{0x81}, 20_000)),
+		Entry("a deeply nested field", append([]byte{0xa1, 0x01}, bytes.Repeat([]byte{0x81}, 1_300)...)),
+		Entry("with a number that no type holds", append([]byte{0xa1, 0x02, 0xc2, 0x58, 0x40}, bytes.Repeat([]byte{0xff}, 0x40)...)),
+	)
+
+	DescribeTable("that names no usable node is rejected, also in a roster", func(change func(*fleet.Beacon)) {
+		// Guards against an entry or a datagram of another writer that makes nodes lose each other.
+		b := beacon("a", 1_800_000_000_000_000_000, 1)
+		change(&b)
+		data, err := b.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = fleet.Decode(data)
+		Expect(err).To(HaveOccurred())
+		data, err = fleet.EncodeRoster([]fleet.Beacon{b, beacon("b", 1, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		roster, err := fleet.DecodeRoster(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(roster).To(HaveLen(1))
+	},
+		Entry("a port out of range", func(b *fleet.Beacon) { b.CallAddress = "10.0.0.1:99999" }),
+		Entry("port 0", func(b *fleet.Beacon) { b.GossipAddress = "10.0.0.1:0" }),
+		Entry("no port", func(b *fleet.Beacon) { b.GossipAddress = "10.0.0.1" }),
+		Entry("no IP number", func(b *fleet.Beacon) { b.CallAddress = "etalase:80" }),
+		Entry("the highest incarnation", func(b *fleet.Beacon) { b.Incarnation = math.MaxInt64 }),
+		Entry("a negative incarnation", func(b *fleet.Beacon) { b.Incarnation = -1 }),
+		Entry("the highest sequence number", func(b *fleet.Beacon) { b.Sequence = math.MaxUint64 }),
+		Entry("too many slots", func(b *fleet.Beacon) { b.Slots = math.MaxInt }),
+		Entry("negative slots", func(b *fleet.Beacon) { b.Slots = -1 }),
+		Entry("a slowdown that is no number", func(b *fleet.Beacon) { b.Load.Slowdown = float32(math.NaN()) }),
+		Entry("an infinite fanout", func(b *fleet.Beacon) { b.Fanout = float32(math.Inf(1)) }),
+		Entry("a negative estimate", func(b *fleet.Beacon) { b.SaturationSlowdown = -1 }),
+		Entry("samples that are no number", func(b *fleet.Beacon) { b.SaturationSamples = float32(math.NaN()) }),
 	)
 })
 
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -27,19 +27,19 @@
 // EncodeRoster returns the encoded form of a roster.
 func EncodeRoster(roster []Beacon) ([]byte, error) { return codec.Marshal(roster) }
 
-// DecodeRoster reads a roster. Beacons without a host or an address are left out.
+// DecodeRoster reads a roster. Beacons that name no usable node are left out.
 func DecodeRoster(data []byte) ([]Beacon, error) {
 	var roster []Beacon
 	if err := codec.Unmarshal(data, &roster); err != nil {
 		return nil, malformed("decode roster", err)
 	}
-	complete := roster[:0]
+	usable := roster[:0]
 	for _, b := range roster {
-		if b.complete() {
-			complete = append(complete, b)
+		if b.validate() == nil {
+			usable = append(usable, b)
 		}
 	}
-	return complete, nil
+	return usable, nil
 }
 
 // MergeRoster adds the nodes of another node's roster that are unknown or silent
--- a/sidecar/joining_test.go
+++ b/sidecar/joining_test.go
@@ -1,8 +1,10 @@
 package sidecar_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"math"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -10,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/sidecar"
 )
@@ -135,6 +138,38 @@
 		Expect([]int64{a.sidecar.Incarnation(), b.sidecar.Incarnation()}).To(Equal(before))
 	})
 
+	DescribeTable("goes on with the sound entries beside an odd one", func(change func(*fleet.Beacon)) {
+		// Guards against an entry of another writer that ends the nodes which read it, or makes them
+		// lose the node that it names.
+		f := newTestFleet()
+		f.publish(1)
+		b := fleet.Beacon{
+			Host: "stock-1", Incarnation: 1, Sequence: 1, CallAddress: "127.0.0.1:9", GossipAddress: "127.0.0.1:9",
+			FailureDomain: "z1", Service: "stock", Upstream: "i-odd", Phase: fleet.Ready,
+		}
+		change(&b)
+		value, err := b.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		f.store.Store("banyancross/nodes/stock-1", value)
+		f.store.Store("banyancross/nodes/odd", value)
+		f.store.Store("banyancross/nodes/nested", bytes.Repeat([]byte{0x81}, 20_000))
+		f.store.Store("banyancross/findings/stock", bytes.Repeat([]byte("["), 20_000))
+		b1, b2 := f.add(), f.add()
+		b1.sendHeartbeat("ready")
+		b2.sendHeartbeat("ready")
+		f.waitUntilAvailable(b1, b2)
+		f.waitUntilAvailable(b2, b1)
+		Expect(b1.sidecar.Nodes()).To(Equal(2))
+		f.publish(2)
+		Eventually(b1.revision).Should(Equal("2"))
+		Eventually(b2.revision).Should(Equal("2"))
+	},
+		Entry("the highest incarnation", func(b *fleet.Beacon) { b.Incarnation = math.MaxInt64 }),
+		Entry("a later incarnation", func(b *fleet.Beacon) { b.Incarnation = math.MaxInt64 / 2 }),
+		Entry("the highest sequence number", func(b *fleet.Beacon) { b.Sequence = math.MaxUint64 }),
+		Entry("a port out of range", func(b *fleet.Beacon) { b.GossipAddress = "127.0.0.1:99999" }),
+	)
+
 	It("calls a store that does not answer less and less often", func() {
 		f := newTestFleet()
 		store := &countingStore{listOnlyStore: listOnlyStore{Client: platform.NewClient("127.0.0.1:1")}}
