egress: a response counts for a call only if it bears its ID

Callers were told that a request had not run although the upstream ran it, or it ran at a second upstream.

Cause: the gate accepted a rejection without an ID for any call, and health checks, whose responses have no ID, share the connections of calls. A health check accepted any response, so that its own was left for the next call.

Upstreams echo the ID of a request in each response to it, so a response without one is not that of a call. A call that came without an ID has no proof of its rejection and counts as one that may have run.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -166,7 +166,8 @@
 		response.Release()
 		finish(false)
 		outcome := call.Unknown
-		if reason == call.ReasonRejected {
+		if reason == call.ReasonRejected && meta.ID != "" {
+			// Without an ID, it may be the rejection of a health check.
 			outcome = call.NotRun
 		}
 		refused := Refusal(outcome, reason)
@@ -193,10 +194,7 @@
 	platform.SetForwardingHeaders(header, platform.ForwardingHeaders{Instance: t.instance, Remaining: remaining, Caller: meta.CallerService})
 	out := &http1.OutgoingRequest{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content,
-		Accept: func(response *http1.Response) bool {
-			answer := platform.ReadResponseHeaders(response.Status, response.Header)
-			return answer.ID() == meta.ID || (answer.ID() == "" && answer.NotRun())
-		},
+		Accept: acceptID(meta.ID),
 	}
 	if c.Rest != nil {
 		out.Rest = c.Rest
@@ -204,6 +202,15 @@
 	return out
 }
 
+// acceptID returns a function that reports whether a response bears the ID of a request,
+// "" for a health check. An upstream may repeat an earlier response, also a rejection,
+// on a connection that calls and health checks share.
+func acceptID(id string) func(*http1.Response) bool {
+	return func(response *http1.Response) bool {
+		return platform.ReadResponseHeaders(response.Status, response.Header).ID() == id
+	}
+}
+
 // discardReason returns why an answer must not be passed on, "" if it may be.
 func (g *Gate) discardReason(t target, answer platform.ResponseHeaders, response *http1.Response) call.Reason {
 	switch {
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -242,7 +242,9 @@
 	//nolint:staticcheck // tomb asks for nil to give the context that ends with it.
 	ctx, cancel := context.WithTimeout(g.tomb.Context(nil), probeTimeout)
 	defer cancel()
-	response, err := pool.Do(ctx, &http1.OutgoingRequest{Method: http.MethodGet, Target: s.HealthPath, Host: g.address, Header: http.Header{}})
+	response, err := pool.Do(ctx, &http1.OutgoingRequest{
+		Method: http.MethodGet, Target: s.HealthPath, Host: g.address, Header: http.Header{}, Accept: acceptID(""),
+	})
 	if err != nil {
 		g.recordDialFailure(target{instance: instance}, err)
 		return
