http1, sidecar, standin: specs of responses that are cut short in the head

A report of an operator of a similar system: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It cannot happen here: a response that ends at any byte before its end is an error, for bodies with a length, in chunks and without one, after interim responses and with bare line feeds. Through two nodes a safe request is repeated, and one that may run once is answered 502.

The stand-in and the soak also play heads that are cut short and trailer sections beyond the limit.

--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -269,6 +269,23 @@
 	return p
 }
 
+// pipePool returns a pool of connections without a buffer. After a request, respond
+// writes to the other end, which is then closed.
+func pipePool(respond func(net.Conn)) *http1.Pool {
+	p := http1.NewPool("x", func(context.Context, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		go func() {
+			defer func() { _ = theirs.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(theirs)); err == nil {
+				respond(theirs)
+			}
+		}()
+		return ours, nil
+	}, clock.System{}, time.Minute)
+	DeferCleanup(p.Close)
+	return p
+}
+
 func get(p *http1.Pool, id string) (string, error) {
 	response, err := p.Do(context.Background(), &http1.OutgoingRequest{
 		Method: http.MethodGet, Target: "/" + id, Host: "x", Header: http.Header{},
@@ -319,20 +336,10 @@
 	DescribeTable("reports a response whose trailer section does not end", func(start, more string) {
 		// Guards against memory that grows with the bytes of a trailer.
 		sent := make(chan int, 1)
-		p := http1.NewPool("x", func(context.Context, string) (net.Conn, error) {
-			ours, theirs := net.Pipe()
-			go func() {
-				defer GinkgoRecover()
-				_, err := http.ReadRequest(bufio.NewReader(theirs))
-				Expect(err).NotTo(HaveOccurred())
-				_, _ = io.WriteString(theirs, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"+start)
-				sent <- writeUntilClosed(theirs, more, 8<<20)
-				_ = theirs.Close()
-			}()
-			return ours, nil
-		}, clock.System{}, time.Minute)
-		DeferCleanup(p.Close)
-		_, err := get(p, "a")
+		_, err := get(pipePool(func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"+start)
+			sent <- writeUntilClosed(conn, more, 8<<20)
+		}), "a")
 		Expect(http1.KindOf(err)).To(Equal(http1.KindHeaderTooLarge))
 		Eventually(sent).Should(Receive(BeNumerically("<", 128<<10)))
 	},
@@ -350,6 +357,20 @@
 		Expect(p.Opened()).To(Equal(uint64(1)))
 	})
 
+	DescribeTable("reports a response that ends anywhere before its end", func(text string) {
+		// Guards against a head that is cut short and passed on as a complete response.
+		for cut := range len(text) {
+			_, err := get(pipePool(func(conn net.Conn) { _, _ = io.WriteString(conn, text[:cut]) }), "a")
+			Expect(err).To(HaveOccurred(), "cut to %q", text[:cut])
+		}
+	},
+		Entry("a body with a length", "HTTP/1.1 200 OK\r\nId: a\r\nResponse-Stamp: s\r\nContent-Length: 12\r\n\r\nabcdefghijk"),
+		Entry("a body in chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"),
+		Entry("the head of a body without a length", "HTTP/1.1 200 OK\r\nId: a\r\nResponse-Stamp: s\r\n"),
+		Entry("line feeds only", "HTTP/1.1 200 OK\nId: a\nContent-Length: 12\n\nabcdefghijk"),
+		Entry("after an interim response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n"),
+	)
+
 	It("reads a body without a length until the connection closes", func() {
 		Expect(get(newPool(script("HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it!")), "a")).To(Equal("all of it!"))
 	})
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -288,6 +288,8 @@
 		Entry("after a response without a signature", standin.FaultUnstamped),
 		Entry("after a truncated response", standin.FaultTruncate),
 		Entry("after a malformed response", standin.FaultMalformed),
+		Entry("after a head that is cut short", standin.FaultTruncateHead),
+		Entry("after a trailer section beyond the limit", standin.FaultLongTrailer),
 		Entry("after an error response", standin.FaultError),
 		Entry("after a rejection", standin.FaultShed),
 	)
@@ -305,6 +307,8 @@
 		Entry("after a response without a signature", standin.FaultUnstamped, http.StatusBadGateway),
 		Entry("after a truncated response", standin.FaultTruncate, http.StatusBadGateway),
 		Entry("after a malformed response", standin.FaultMalformed, http.StatusBadGateway),
+		Entry("after a head that is cut short", standin.FaultTruncateHead, http.StatusBadGateway),
+		Entry("after a trailer section beyond the limit", standin.FaultLongTrailer, http.StatusBadGateway),
 		Entry("after an error response", standin.FaultError, http.StatusInternalServerError),
 		Entry("with an extra response", standin.FaultExtra, http.StatusOK),
 		Entry("with a response without a length", standin.FaultUnframed, http.StatusOK),
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -40,7 +40,8 @@
 		n.upstream.Reset()
 	case upstreamFaults:
 		s, _ := n.currentServer()
-		s.backend.InjectFaults(standin.FaultDisconnect, standin.FaultShed, standin.FaultError, standin.FaultTruncate, standin.FaultMalformed, standin.FaultUnstamped)
+		s.backend.InjectFaults(standin.FaultDisconnect, standin.FaultShed, standin.FaultError, standin.FaultTruncate, standin.FaultMalformed, standin.FaultUnstamped,
+			standin.FaultTruncateHead, standin.FaultLongTrailer)
 	case upstreamReplaced:
 		f.replaceUpstream(ctx, n, e.duration)
 	case storeDropped:
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -31,6 +32,10 @@
 	FaultUnstamped Fault = "unstamped"
 	// FaultTruncate closes the connection before the end of the body.
 	FaultTruncate Fault = "cut"
+	// FaultTruncateHead closes the connection before the end of the head.
+	FaultTruncateHead Fault = "head-cut"
+	// FaultLongTrailer ends the body with a trailer section far beyond any limit.
+	FaultLongTrailer Fault = "long-trailer"
 	// FaultExtra sends a second answer after the answer.
 	FaultExtra Fault = "extra"
 	// FaultUnframed answers without a Content-Length header.
@@ -39,6 +44,10 @@
 	FaultMalformed Fault = "noise"
 )
 
+// trailerBytes is the length of the trailer section of FaultLongTrailer, which is
+// longer than any reader may keep.
+const trailerBytes = 8 << 20
+
 // Run is one execution of a request at a Backend.
 type Run struct {
 	ID, Method, Target, Body, Caller string
@@ -318,6 +327,11 @@
 		_, _ = w.Write(body)
 	case FaultTruncate:
 		b.writeRaw(w, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)+9)+string(body))
+	case FaultTruncateHead:
+		b.writeRaw(w, head+length[:len(length)-3])
+	case FaultLongTrailer:
+		b.writeRaw(w, head+fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n", len(body), body)+
+			strings.Repeat("Rest: x\r\n", trailerBytes/9))
 	case FaultExtra:
 		b.writeRaw(w, head+length+"\r\n"+string(body)+head+length+"\r\n"+string(body))
 	case FaultUnframed:
