http1: only the connection's own goroutine reads a caller's connection

Cause: the body of a long request was read from the caller's connection by whoever sends it on. That reader was not ended or awaited when the request had its answer, and the connection's own goroutine went on to read from the same buffer. The same could follow a rejection by a gate, a timeout of the route or a broken connection to the upstream while a body was still coming.

The connection's goroutine now copies a long body to a pipe, from which the handler reads until the request is answered.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -192,14 +192,10 @@
 	header := c.Header.Clone()
 	hop.Strip(header)
 	platform.SetForwardingHeaders(header, platform.ForwardingHeaders{Instance: t.instance, Remaining: remaining, Caller: meta.CallerService})
-	out := &http1.OutgoingRequest{
-		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content,
+	return &http1.OutgoingRequest{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content, Rest: c.Rest,
 		Accept: acceptID(meta.ID),
 	}
-	if c.Rest != nil {
-		out.Rest = c.Rest
-	}
-	return out
 }
 
 // acceptID returns a function that reports whether a response bears the ID of a request,
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -51,7 +52,7 @@
 	Header  http.Header
 	Content []byte
 	// Rest is the part of the body after Content, nil if Content is all of it.
-	Rest *http1.Body
+	Rest io.Reader
 }
 
 // Answer is a gate's answer; Response is nil unless the outcome is Answered.
--- a/http1/body.go
+++ b/http1/body.go
@@ -124,6 +124,9 @@
 // in bytes.
 const initialBodyBuffer = 2 << 10
 
+// errAnswered reports a read of a request's body after the request was answered.
+var errAnswered = eris.New("the request was answered before its body was read")
+
 // errEarlyResponse reports a response that ended before the request was sent
 // completely.
 var errEarlyResponse = eris.New("response received before the request was sent completely")
--- a/http1/head.go
+++ b/http1/head.go
@@ -21,8 +21,9 @@
 	Body   *Body
 	// Content is the body, or its start if it is too long to be buffered.
 	Content []byte
-	// Rest is the part of a long body after Content, nil if there is none.
-	Rest *Body
+	// Rest is the part of a long body after Content, nil if there is none. It can be
+	// read until the request is answered.
+	Rest io.Reader
 	// keepAlive means that the sender allows further requests on the connection.
 	keepAlive bool
 }
--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -121,10 +122,49 @@
 	}
 	r.Content = content
 	if !complete {
-		r.Rest = r.Body
-		_ = c.conn.SetReadDeadline(time.Time{})
+		return c.dispatchStreamed(r)
+	}
+	final, _ := c.dispatch(r)
+	return !final && c.awaitSlot()
+}
+
+// dispatchStreamed serves a request whose body is passed on while it is received, and
+// waits for its end. What the handler has not read is received and discarded, so that
+// the next request can follow.
+func (c *serverConn) dispatchStreamed(r *Request) bool {
+	_ = c.conn.SetReadDeadline(time.Time{})
+	rest, w := io.Pipe()
+	r.Rest = rest
+	final, done := c.dispatch(r)
+	go func() {
+		<-done
+		_ = rest.CloseWithError(errAnswered)
+		_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	}()
+	complete := c.pump(r.Body, w)
+	<-done
+	return complete && !final
+}
+
+// pump copies a body to w, which its handler reads, until the body ends or cannot be
+// read. Once the handler has answered, it discards the rest. It reports whether the body
+// is complete. No other goroutine reads from the connection meanwhile.
+func (c *serverConn) pump(body *Body, w *io.PipeWriter) bool {
+	buffer := make([]byte, copyBufferSize)
+	for {
+		n, err := body.Read(buffer)
+		// An error means that the request was answered.
+		_, _ = w.Write(buffer[:n])
+		if err == nil {
+			continue
+		}
+		_ = w.CloseWithError(err)
+		if !body.Complete() && KindOf(err) == "" && !errors.Is(err, os.ErrDeadlineExceeded) {
+			// The caller closed the connection in the middle of the body.
+			c.cancel()
+		}
+		return body.Complete()
 	}
-	return c.dispatch(r)
 }
 
 // headLimit returns how many bytes may be read from the connection for a head of
@@ -137,29 +177,24 @@
 	return max(int64(limits.HeaderBytes)+readBufferSize-int64(buffered), 1)
 }
 
-// dispatch serves a request on its own goroutine and reports whether another one may
-// be read. It waits for the end of a request whose body is streamed, and while
-// maxPipelined requests are in flight.
-func (c *serverConn) dispatch(r *Request) bool {
-	final := !r.keepAlive || c.server.isDraining()
+// dispatch serves a request on its own goroutine, which closes done at its end, and
+// reports whether the request is the last one on the connection.
+func (c *serverConn) dispatch(r *Request) (final bool, done <-chan struct{}) {
+	final = !r.keepAlive || c.server.isDraining()
 	reply := c.newReply(r.Method, final)
-	done := make(chan struct{})
+	ended := make(chan struct{})
 	go func() {
-		defer close(done)
+		defer close(ended)
 		c.server.handler.Serve(c.ctx, r, reply)
 		if !reply.answered {
 			reply.Abort()
 		}
 	}()
-	if r.Rest != nil {
-		<-done
-		if !r.Rest.Complete() {
-			return false
-		}
-	}
-	if final {
-		return false
-	}
+	return final, ended
+}
+
+// awaitSlot waits while maxPipelined requests are in flight, and then reports true.
+func (c *serverConn) awaitSlot() bool {
 	for {
 		c.mu.Lock()
 		full := c.inFlight >= maxPipelined
--- a/sidecar/hops.go
+++ b/sidecar/hops.go
@@ -97,10 +97,7 @@
 	header := c.Header.Clone()
 	hop.Strip(header)
 	header.Set(hop.CallHeader, text)
-	out := &http1.OutgoingRequest{Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content}
-	if c.Rest != nil {
-		out.Rest = c.Rest
-	}
+	out := &http1.OutgoingRequest{Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content, Rest: c.Rest}
 	response, err := s.pool(b).Do(ctx, out)
 	if err != nil {
 		outcome := call.Unknown
