ingress: release a server error that another response replaces

Cause: a server error is kept to be passed on if no other attempt succeeds. When one did, or the request ended otherwise, nobody released the error, and with a body of more than 256 KiB it still held its connection, and at the gate of the same host its slot.

exchange now releases the kept error on every path, unless that is what it returns.

--- a/ingress/session.go
+++ b/ingress/session.go
@@ -90,8 +90,18 @@
 }
 
 // exchange sends the request to upstreams until one answers or it must not be
-// sent again. It returns nil if no upstream answered.
+// sent again. It returns the response to pass on, which the caller releases, or nil if
+// no upstream answered.
 func (s *session) exchange(ctx context.Context) *result {
+	passedOn := s.awaitResponse(ctx)
+	if s.errorResult != passedOn {
+		s.discardErrorResult()
+	}
+	return passedOn
+}
+
+// awaitResponse is exchange without the release of an errorResult that is not passed on.
+func (s *session) awaitResponse(ctx context.Context) *result {
 	s.results = make(chan result, maxPicks+1)
 	s.tried, s.declinedLocal = map[string]bool{}, map[string]bool{}
 	hedge := s.hedgeTimer()
