--- a/http1/early_test.go
+++ b/http1/early_test.go
@@ -92,7 +92,7 @@
 
 	It("cancels the request of a caller that disconnects in the middle of the body", func() {
 		cancelled := make(chan error, 1)
-		_, address := serve(func(ctx context.Context, r *http1.Request, reply *http1.Reply) {
+		_, address := serve(func(ctx context.Context, r *http1.Request, _ *http1.Reply) {
 			_, err := io.Copy(io.Discard, r.Rest)
 			<-ctx.Done()
 			cancelled <- err
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -112,8 +112,9 @@
 
 // shouldWatch reports whether this node is among those that watch the store. A node
 // that has lost all others watches it at once: nobody is left to tell it of a
-// configuration. One that has heard from none yet waits for one first. In a new fleet, nodes that are still joining watch only if they are registered, since all
-// know but a few others. After a restart, those count that are known from the store.
+// configuration. One that has heard from none yet waits for one first. In a new fleet,
+// nodes that are still joining watch only if they are registered, since all know but a
+// few others. After a restart, those count that are known from the store.
 func (s *Sidecar) shouldWatch() bool {
 	switch {
 	case !s.joined():
