standin, soak, sidecar: long server errors and repeated rejections

Two more faults of an upstream, played in the specs of two nodes and in the soak: a server error with a body far beyond any buffer, and the rejection of a health check sent again before an answer. The spec of the latter fails with the rule of undone: the request runs more than once.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -291,6 +291,7 @@
 		Entry("after a head that is cut short", standin.FaultTruncateHead),
 		Entry("after a trailer section beyond the limit", standin.FaultLongTrailer),
 		Entry("after an error response", standin.FaultError),
+		Entry("after an error response with a long body", standin.FaultLongError),
 		Entry("after a rejection", standin.FaultShed),
 	)
 
@@ -311,6 +312,7 @@
 		Entry("after a trailer section beyond the limit", standin.FaultLongTrailer, http.StatusBadGateway),
 		Entry("after an error response", standin.FaultError, http.StatusInternalServerError),
 		Entry("with an extra response", standin.FaultExtra, http.StatusOK),
+		Entry("with a repeated rejection of a health check", standin.FaultRepeatRejection, http.StatusOK),
 		Entry("with a response without a length", standin.FaultUnframed, http.StatusOK),
 	)
 
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -41,7 +41,7 @@
 	case upstreamFaults:
 		s, _ := n.currentServer()
 		s.backend.InjectFaults(standin.FaultDisconnect, standin.FaultShed, standin.FaultError, standin.FaultTruncate, standin.FaultMalformed, standin.FaultUnstamped,
-			standin.FaultTruncateHead, standin.FaultLongTrailer)
+			standin.FaultTruncateHead, standin.FaultLongTrailer, standin.FaultLongError, standin.FaultRepeatRejection)
 	case upstreamReplaced:
 		f.replaceUpstream(ctx, n, e.duration)
 	case storeDropped:
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -34,6 +34,11 @@
 	FaultTruncate Fault = "cut"
 	// FaultTruncateHead closes the connection before the end of the head.
 	FaultTruncateHead Fault = "head-cut"
+	// FaultLongError answers with status 500 and a body far beyond any buffer.
+	FaultLongError Fault = "long-error"
+	// FaultRepeatRejection sends the rejection of an earlier health check before the
+	// answer.
+	FaultRepeatRejection Fault = "repeat-rejection"
 	// FaultLongTrailer ends the body with a trailer section far beyond any limit.
 	FaultLongTrailer Fault = "long-trailer"
 	// FaultExtra sends a second answer after the answer.
@@ -44,9 +49,9 @@
 	FaultMalformed Fault = "noise"
 )
 
-// trailerBytes is the length of the trailer section of FaultLongTrailer, which is
-// longer than any reader may keep.
-const trailerBytes = 8 << 20
+// longBytes is the length of the body of FaultLongError and of the trailer section of
+// FaultLongTrailer, which is longer than any reader may keep.
+const longBytes = 8 << 20
 
 // Run is one execution of a request at a Backend.
 type Run struct {
@@ -329,9 +334,14 @@
 		b.writeRaw(w, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)+9)+string(body))
 	case FaultTruncateHead:
 		b.writeRaw(w, head+length[:len(length)-3])
+	case FaultLongError:
+		b.writeRaw(w, strings.Replace(head, "200 OK", "500 Internal Server Error", 1)+
+			fmt.Sprintf("Content-Length: %d\r\n\r\n", longBytes)+strings.Repeat("x", longBytes))
+	case FaultRepeatRejection:
+		b.writeRaw(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"+head+length+"\r\n"+string(body))
 	case FaultLongTrailer:
 		b.writeRaw(w, head+fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n", len(body), body)+
-			strings.Repeat("Rest: x\r\n", trailerBytes/9))
+			strings.Repeat("Rest: x\r\n", longBytes/9))
 	case FaultExtra:
 		b.writeRaw(w, head+length+"\r\n"+string(body)+head+length+"\r\n"+string(body))
 	case FaultUnframed:
