http1: the end of a streamed request sets its read deadline before the next request

Found by reading the diff: the goroutine that closes the pipe of a long body could set its read deadline after the connection had gone on, and so undo the idle deadline, or the one that wakes a connection which is to close. The connection now waits for it. A malformed chunk no longer cancels the other requests of a connection as a lost caller does, and the limit on pipelined requests holds after a streamed one as well.

--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -136,34 +136,42 @@
 	rest, w := io.Pipe()
 	r.Rest = rest
 	final, done := c.dispatch(r)
+	closed := make(chan struct{})
 	go func() {
+		defer close(closed)
 		<-done
 		_ = rest.CloseWithError(errAnswered)
 		_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
 	}()
-	complete := c.pump(r.Body, w)
-	<-done
-	return complete && !final
+	err := pump(r.Body, w)
+	var network net.Error
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+		// The caller closed the connection in the middle of the body, or sends no more of
+		// it after the answer.
+		c.cancel()
+	}
+	<-closed
+	return err == nil && !final && c.awaitSlot()
 }
 
-// pump copies a body to w, which its handler reads, until the body ends or cannot be
-// read. Once the handler has answered, it discards the rest. It reports whether the body
-// is complete. No other goroutine reads from the connection meanwhile.
-func (c *serverConn) pump(body *Body, w *io.PipeWriter) bool {
+// pump copies a body to w until it ends, and returns why it could not be read to its
+// end. Once the other end of w is closed, it discards the rest of the body.
+func pump(body *Body, w *io.PipeWriter) error {
 	buffer := make([]byte, copyBufferSize)
 	for {
 		n, err := body.Read(buffer)
-		// An error means that the request was answered.
-		_, _ = w.Write(buffer[:n])
-		if err == nil {
-			continue
+		if n > 0 {
+			// The other end is closed when the request is answered.
+			_, _ = w.Write(buffer[:n])
 		}
-		_ = w.CloseWithError(err)
-		if !body.Complete() && KindOf(err) == "" && !errors.Is(err, os.ErrDeadlineExceeded) {
-			// The caller closed the connection in the middle of the body.
-			c.cancel()
+		switch err {
+		case nil:
+		case io.EOF:
+			return w.Close()
+		default:
+			_ = w.CloseWithError(err)
+			return err
 		}
-		return body.Complete()
 	}
 }
 
