--- a/standin/backend.go
+++ b/standin/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	FaultShed Fault = "shed"
 	// FaultError runs the request and answers with status 500.
 	FaultError Fault = "error"
+	// FaultEarlyAnswer answers before it has read the body, and reads on.
+	FaultEarlyAnswer Fault = "early"
 	// FaultUnstamped answers without a Response-Stamp header.
 	FaultUnstamped Fault = "unstamped"
 	// FaultTruncate closes the connection before the end of the body.
@@ -234,11 +237,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	fault := b.nextFault()
+	if fault == FaultEarlyAnswer {
+		b.recordRun(Run{ID: id, Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get("Caller-Service"), At: time.Now()})
+		answerEarly(w, r, []byte(b.instance))
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	fault := b.nextFault()
 	if fault == FaultShed {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -354,6 +362,19 @@
 	}
 }
 
+// answerEarly sends an answer, and then reads the body of the request.
+func answerEarly(w http.ResponseWriter, r *http.Request, body []byte) {
+	controller := http.NewResponseController(w)
+	if err := controller.EnableFullDuplex(); err != nil {
+		return
+	}
+	w.Header().Set("Response-Stamp", "s")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+	_ = controller.Flush()
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
 // writeRaw writes text to the connection as it is, and closes the connection.
 func (b *Backend) writeRaw(w http.ResponseWriter, text string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
