--- a/egress/repeat_test.go
+++ b/egress/repeat_test.go
@@ -30,7 +30,7 @@
 // repeater is an upstream that writes any earlier response of a connection once more
 // where the next one is expected. It runs or rejects calls and health checks at random.
 type repeater struct {
-	listener net.Listener
+	address string
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -40,19 +40,8 @@
 
 func newRepeater(seed uint64) *repeater {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	u := &repeater{listener: listener, rng: rand.New(rand.NewPCG(seed, 0)), runs: map[string]int{}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(conn)
-		}
-	}()
+	u := &repeater{rng: rand.New(rand.NewPCG(seed, 0)), runs: map[string]int{}}
+	u.address = listen(u.serve)
 	return u
 }
 
@@ -64,7 +53,6 @@
 }
 
 func (u *repeater) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	br := bufio.NewReader(conn)
 	var earlier []string
 	for {
@@ -114,10 +102,9 @@
 		// copy of an earlier rejection.
 		const workers, calls = 2, 10_000
 		u, t := newRepeater(29), table()
-		address := u.listener.Addr().String()
-		gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithClock(fastTimers{}))
+		gate := egress.NewGate(u.address, func() *route.Table { return t }, egress.WithClock(fastTimers{}))
 		DeferCleanup(gate.Close)
-		h := heartbeat(address, "i-1", "ready", 1000, 1)
+		h := heartbeat(u.address, "i-1", "ready", 1000, 1)
 		Expect(gate.Heartbeat(h)).To(BeTrue())
 		Eventually(phase(gate)).Should(Equal(fleet.Ready))
 		var mu sync.Mutex
--- a/egress/runlog_test.go
+++ b/egress/runlog_test.go
@@ -19,6 +19,26 @@
 // responder starts an upstream that answers health checks, and each call with text,
 // which closes the connection. It returns its address.
 func responder(text string) string {
+	GinkgoHelper()
+	return listen(func(conn net.Conn) {
+		br := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if r.URL.Path != "/healthz" {
+				_, _ = io.WriteString(conn, text)
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+}
+
+// listen serves connections until the end of the spec, closes each when serve returns,
+// and returns the address.
+func listen(serve func(net.Conn)) string {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -31,18 +51,7 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				br := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					if r.URL.Path != "/healthz" {
-						_, _ = io.WriteString(conn, text)
-						return
-					}
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n")
-				}
+				serve(conn)
 			}()
 		}
 	}()
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -3,14 +3,14 @@
 import "time"
 
 // The decisions in this file answer a fleet in which every node may call every other
-// one: beacons go often only to the nodes that send calls at the moment or stand in for
-// the sender.
+// one: beacons go often only to the nodes that send calls at the moment, and to those
+// that may have to watch the store next.
 
 // Turn describes a node in one round of another node's beacons.
 type Turn struct {
-	// Frequent means that the node must notice soon when the sender is lost: it sends
-	// calls there, or stands in for it. WasFrequent means that this held in the round
-	// before.
+	// Frequent means that the node must notice soon when the sender of the beacons is
+	// lost, since it sends calls there or may have to watch the store in its place.
+	// WasFrequent means that this held in the round before.
 	Frequent, WasFrequent bool
 	// Remote means that the node is in another failure domain, and RemoteRound that
 	// this round includes those.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -453,6 +453,7 @@
 	})
 
 	DescribeTable("ignores a stored saturation estimate that is malformed", func(value []byte) {
+		// Guards against a value of another writer that replaces what the nodes measure.
 		f := newTestFleet()
 		f.store.Store("banyancross/findings/stock", value)
 		f.publish(1)
--- a/sidecar/upload_test.go
+++ b/sidecar/upload_test.go
@@ -19,6 +19,9 @@
 
 // upload sends half of a long body, waits for the response, and sends the rest with
 // another request behind it. It returns the statuses of both responses.
+//
+// The specs guard against a body that is read by two goroutines, or cut off by the close of
+// its connection.
 func upload(h *host, target string) (first, second int) {
 	GinkgoHelper()
 	conn, err := net.Dial("tcp", h.conf.CallerAddress())
