fleet: compute the hash that ranks a node once

FirstRanked hashed two names a comparison, and Rank hashed the own name for each other node, on the path of each round of beacons. The hash now stands beside the peer's other derived names. The order is the same.

--- a/fleet/rank.go
+++ b/fleet/rank.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,36 +25,42 @@
 	return r.ConnectedBefore < count && r.LiveBefore < 2*count
 }
 
-// rankBefore reports whether a host is ranked before another one.
-func rankBefore(host, other string) bool {
-	a, b := xxhash.Sum64String(host), xxhash.Sum64String(other)
-	return a < b || (a == b && host < other)
+// rankKey orders nodes by rank.
+type rankKey struct {
+	hash uint64
+	host string
+}
+
+func newRankKey(host string) rankKey { return rankKey{hash: xxhash.Sum64String(host), host: host} }
+
+func (k rankKey) compare(other rankKey) int {
+	return cmp.Or(cmp.Compare(k.hash, other.hash), strings.Compare(k.host, other.host))
 }
 
 // FirstRanked returns the hosts of at most count nodes, the first in rank among those
 // that live and are not stopping.
 func (v *View) FirstRanked(count int) []string {
 	v.mu.Lock()
-	var hosts []string
+	keys := make([]rankKey, 0, len(v.sorted))
 	for _, peer := range v.sorted {
 		if !peer.silent && !peer.beacon.Stopping {
-			hosts = append(hosts, peer.beacon.Host)
+			keys = append(keys, peer.rank)
 		}
 	}
 	v.mu.Unlock()
-	slices.SortFunc(hosts, func(a, b string) int {
-		if rankBefore(a, b) {
-			return -1
-		}
-		return 1
-	})
-	return hosts[:min(count, len(hosts))]
+	slices.SortFunc(keys, rankKey.compare)
+	hosts := make([]string, 0, count)
+	for _, key := range keys[:min(count, len(keys))] {
+		hosts = append(hosts, key.host)
+	}
+	return hosts
 }
 
 // Rank returns the rank of the named node among those of a failure domain, or
 // among all nodes if failureDomain is empty. Nodes that are stopping do not count,
 // and silent ones only if countSilent is set.
 func (v *View) Rank(host, failureDomain string, countSilent bool) Rank {
+	own := newRankKey(host)
 	r := Rank{Connected: 1}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -61,7 +69,7 @@
 		if b.Host == host || b.Stopping || (peer.silent && !countSilent) || (failureDomain != "" && b.FailureDomain != failureDomain) {
 			continue
 		}
-		before := rankBefore(b.Host, host)
+		before := peer.rank.compare(own) < 0
 		if before {
 			r.LiveBefore++
 		}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -46,6 +46,7 @@
 	// key identifies the node's upstream, and group the upstreams of its service in
 	// its failure domain.
 	key, group   string
+	rank         rankKey
 	lastReceived time.Time
 	silent       bool
 	// suspectedAt is when a call to the node last failed, zero if it has sent a
@@ -60,7 +61,7 @@
 	if old != nil && old.Host == b.Host && old.Upstream == b.Upstream && old.Service == b.Service && old.FailureDomain == b.FailureDomain {
 		return
 	}
-	p.key, p.group = UpstreamKey(b), b.Service+"/"+b.FailureDomain
+	p.key, p.group, p.rank = UpstreamKey(b), b.Service+"/"+b.FailureDomain, newRankKey(b.Host)
 }
 
 // UpstreamKey returns the name that identifies the upstream of a node.
