--- a/call/call.go
+++ b/call/call.go
@@ -8,6 +8,9 @@
 // MaxDepth is the largest number of nested calls between services.
 const MaxDepth = 19
 
+// MaxSlots is the largest number of calls that an upstream may run at a time.
+const MaxSlots = 1 << 16
+
 // Outcome is how a call ended.
 type Outcome uint8
 
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -100,8 +100,6 @@
 	// nanoseconds, and a node raises its own above one that others know.
 	maxIncarnation = 1 << 62
 	maxSequence    = 1 << 62
-	// maxSlots bounds the slots of an upstream.
-	maxSlots = 1 << 16
 )
 
 // validate returns why the beacon names no node that can be called, nil if it does.
@@ -117,7 +115,7 @@
 	if b.Incarnation < 0 || b.Incarnation > maxIncarnation || b.Sequence > maxSequence {
 		return eris.Errorf("incarnation %d or sequence %d is out of range", b.Incarnation, b.Sequence)
 	}
-	if b.Slots < 0 || b.Slots > maxSlots {
+	if b.Slots < 0 || b.Slots > call.MaxSlots {
 		return eris.Errorf("%d slots are out of range", b.Slots)
 	}
 	for _, ratio := range []float32{b.Load.Slowdown, b.Fanout, b.SaturationSlowdown, b.SaturationSamples} {
