--- a/egress/runlog.go
+++ b/egress/runlog.go
@@ -23,23 +23,18 @@
 
 func newRunLog() runLog { return runLog{limit: rate.NewLimiter(runLinesPerSecond, runLinesPerSecond)} }
 
-// allow reports whether another line may be written, and how many were omitted since
-// the one before it.
-func (l *runLog) allow(now time.Time) (omitted uint64, ok bool) {
-	if !l.limit.AllowN(now, 1) {
-		l.omitted++
-		return 0, false
-	}
-	omitted, l.omitted = l.omitted, 0
-	return omitted, true
-}
-
-// allowRunLine is allow for the gate's lines about runs.
+// allowRunLine reports whether another line about runs may be written, and how many were
+// omitted since the one before it.
 func (g *Gate) allowRunLine() (omitted uint64, ok bool) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.runLog.allow(now)
+	if !g.runLog.limit.AllowN(now, 1) {
+		g.runLog.omitted++
+		return 0, false
+	}
+	omitted, g.runLog.omitted = g.runLog.omitted, 0
+	return omitted, true
 }
 
 // logRun logs the end of a run that is not idempotent or got no answer.
