--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -183,6 +183,15 @@
 		Entry("one line", "Rest: ", strings.Repeat("x", 4<<10)),
 	)
 
+	It("answers 400 to a request with a malformed trailer section", func() {
+		_, address := serve(echo)
+		conn, br := dial(address)
+		_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nno field\r\n\r\n")
+		status, _, closing := readResponse(br)
+		Expect(status).To(Equal(http.StatusBadRequest))
+		Expect(closing).To(BeTrue())
+	})
+
 	It("announces the last response when it drains, and closes idle connections", func() {
 		server, address := serve(echo)
 		conn, br := dial(address)
