ingress, sidecar, telemetry: log and count the use of the retry budget

Neither logs nor metrics told which node granted which retries, by which counts, or how many nested calls of retried runs a service got. A line a second for each service with a decision says so, requests say whether the budget denied them another attempt, and attempts whether they were charged. No decision changes.

--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,10 +53,25 @@
 	return &retryBudgets{bounds: b, view: view, services: map[string]*sendWindow{}}
 }
 
+// RetryUsage is the use of a node's share of the retry budget of a service.
+type RetryUsage struct {
+	Service string
+	// Nodes is the least number of nodes that the slack was divided by since the latest
+	// report, 0 without a decision.
+	Nodes int
+	// Requests and Retries are those in the current window.
+	Requests, Retries float64
+	// Granted, Denied and Refunded count the decisions on retries since the latest
+	// report, and Nested the nested calls of retried runs.
+	Granted, Denied, Refunded, Nested int
+}
+
 // sendWindow counts the requests and retries of one service in a sliding window.
 type sendWindow struct {
-	requests [windowBuckets]float64
-	retries  [windowBuckets]float64
+	// unreported holds the counts since the latest report.
+	unreported RetryUsage
+	requests   [windowBuckets]float64
+	retries    [windowBuckets]float64
 	// bucket is the number of the latest bucket.
 	bucket int64
 }
@@ -81,6 +98,36 @@
 	return w
 }
 
+// totals returns the requests and retries in the window.
+func (w *sendWindow) totals() (requests, retries float64) {
+	for i := range windowBuckets {
+		requests += w.requests[i]
+		retries += w.retries[i]
+	}
+	return requests, retries
+}
+
+// takeUsage returns the usage of the services for which a decision was made since the
+// latest call, sorted by service.
+func (b *retryBudgets) takeUsage(now time.Time) []RetryUsage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var usages []RetryUsage
+	for name := range b.services {
+		w := b.window(now, name)
+		if w.unreported == (RetryUsage{}) {
+			continue
+		}
+		usage := w.unreported
+		usage.Service = name
+		usage.Requests, usage.Retries = w.totals()
+		usages = append(usages, usage)
+		w.unreported = RetryUsage{}
+	}
+	slices.SortFunc(usages, func(a, b RetryUsage) int { return strings.Compare(a.Service, b.Service) })
+	return usages
+}
+
 // recordRequest counts a request to a service.
 func (b *retryBudgets) recordRequest(now time.Time, name string) {
 	b.mu.Lock()
@@ -96,6 +143,7 @@
 	defer b.mu.Unlock()
 	w := b.window(now, name)
 	w.retries[w.bucket%windowBuckets]++
+	w.unreported.Nested++
 }
 
 // spend charges one retry to the budget of a service and reports whether there was
@@ -105,20 +153,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, name)
-	requests, retries := 0.0, 0.0
-	for i := range windowBuckets {
-		requests += w.requests[i]
-		retries += w.retries[i]
-	}
+	requests, retries := w.totals()
 	share := leafShare
 	if fanout > maxLeafFanout {
 		share = parentShare
 	}
 	allowed := share * (b.bounds.Ratio*requests + b.bounds.Slack/float64(nodes))
+	if least := w.unreported.Nodes; least == 0 || nodes < least {
+		w.unreported.Nodes = nodes
+	}
 	if retries+1 > allowed*(1-reserve) {
+		w.unreported.Denied++
 		return false
 	}
 	w.retries[w.bucket%windowBuckets]++
+	w.unreported.Granted++
 	return true
 }
 
@@ -127,6 +176,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, name)
+	w.unreported.Refunded++
 	for i := range windowBuckets {
 		at := (w.bucket - int64(i) + windowBuckets) % windowBuckets
 		if w.retries[at] > 0 {
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -68,12 +68,13 @@
 		b := a.peer.Beacon()
 		s.trail = append(s.trail, AttemptRecord{
 			Host: b.Host, Upstream: b.Upstream, Reason: call.ReasonUnfinished, Hedge: a.hedge,
-			Offset: a.started.Sub(s.received), Elapsed: now.Sub(a.started),
+			Retry: a.charged, Offset: a.started.Sub(s.received), Elapsed: now.Sub(a.started),
 		})
 	}
 	o := Observation{
 		ID: s.headers.ID(), Service: s.service, Status: status, Outcome: outcome, Reason: reason,
 		Attempts: s.arrivals, Picks: s.picks, Elapsed: elapsed, Trail: s.trail,
+		RetryDenied: s.retryDenied, ParentRetried: s.parentRetried,
 	}
 	if s.table != nil {
 		o.Revision = s.table.Revision()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -51,6 +51,11 @@
 	Elapsed time.Duration
 	// Late means that the request took longer than the route's latency objective.
 	Late bool
+	// RetryDenied means that the retry budget forbade another attempt.
+	RetryDenied bool
+	// ParentRetried means that the request is a nested call of a retried run, so that
+	// it counts as a retry.
+	ParentRetried bool
 	// Trail lists the attempts in the order of their ends, unfinished ones last.
 	Trail []AttemptRecord
 }
@@ -62,6 +67,8 @@
 	Outcome  call.Outcome
 	Reason   call.Reason
 	Hedge    bool
+	// Retry means that the attempt was charged to the retry budget.
+	Retry bool
 	// Offset is the time from the receipt of the request to the attempt.
 	Offset  time.Duration
 	Elapsed time.Duration
@@ -167,6 +174,10 @@
 	return in
 }
 
+// RetryUsage returns the use of the retry budget by service, for the services of which
+// it changed since the latest call.
+func (in *Ingress) RetryUsage() []RetryUsage { return in.retryBudgets.takeUsage(in.clock.Now()) }
+
 // UpdateLoad updates the load that a node reports for its upstream.
 func (in *Ingress) UpdateLoad(b *fleet.Beacon) {
 	if b.Upstream != "" {
@@ -214,7 +225,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	if run, ok := in.parentRun(s.headers.ParentID()); ok {
-		s.depth = run.Depth + 1
+		s.depth, s.parentRetried = run.Depth+1, run.Repeated
 		if run.Repeated {
 			in.retryBudgets.recordRetry(s.received, s.service)
 		}
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -50,6 +50,9 @@
 	timeout     time.Duration
 	// depth is the number of calls above this one in its call chain.
 	depth int
+	// parentRetried means that the run that makes this nested call is a retry, and
+	// retryDenied that the retry budget forbade another attempt.
+	parentRetried, retryDenied bool
 
 	results chan result
 	// tried holds the hosts that the request was sent to, and declinedLocal those
@@ -190,7 +193,7 @@
 	meta := r.answer.Meta
 	record := AttemptRecord{
 		Host: r.attempt.peer.Beacon().Host, Upstream: r.attempt.peer.Beacon().Upstream, Outcome: meta.Outcome,
-		Reason: meta.Reason, Hedge: r.attempt.hedge, Offset: r.attempt.started.Sub(s.received), Elapsed: now.Sub(r.attempt.started),
+		Reason: meta.Reason, Hedge: r.attempt.hedge, Retry: r.attempt.charged, Offset: r.attempt.started.Sub(s.received), Elapsed: now.Sub(r.attempt.started),
 		QueueTime: meta.QueueTime,
 	}
 	if meta.Load != nil {
@@ -232,6 +235,7 @@
 	now := s.in.clock.Now()
 	charged := s.arrivals > 0
 	if charged && !s.spendRetry(now, peers[0].Beacon().Fanout, hedge) {
+		s.retryDenied = true
 		return false
 	}
 	peer, declinable := s.place(now, peers, hedge)
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -1,6 +1,10 @@
 package sidecar
 
-import "time"
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+)
 
 // gaugeInterval is the pause between two updates of the gauges.
 const gaugeInterval = time.Second
@@ -9,6 +13,7 @@
 func (s *Sidecar) updateGauges() error {
 	for round := 1; s.sleep(gaugeInterval); round++ {
 		s.updateTransferGauges()
+		s.logRetryUsage()
 		if round%transferLogRounds == 0 {
 			s.logTransfers()
 		}
@@ -42,3 +47,12 @@
 	}
 	return nil
 }
+
+// logRetryUsage logs the use of the retry budgets that changed since the latest call.
+func (s *Sidecar) logRetryUsage() {
+	for _, u := range s.ingress.RetryUsage() {
+		_ = level.Info(s.logger).Log("event", "retry-budget", "service", u.Service, "nodes", u.Nodes, "requests", u.Requests,
+			"retries", u.Retries, "granted", u.Granted, "denied", u.Denied, "refunded", u.Refunded, "nested", u.Nested,
+			"uptime-ms", s.clock.Now().Sub(s.started).Milliseconds())
+	}
+}
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -63,5 +63,6 @@
 	_ = level.Info(s.logger).Log("event", "request", "class", class, "request", o.ID, "route", o.Route,
 		"service", o.Service, "revision", o.Revision, "status", o.Status, "outcome", o.Outcome, "reason", o.Reason,
 		"elapsed-ms", o.Elapsed.Milliseconds(), "arrivals", o.Attempts, "picks", o.Picks,
+		"retry-denied", o.RetryDenied, "parent-retried", o.ParentRetried,
 		"trail", telemetry.NewTrail(o.Trail), "omitted", omitted)
 }
--- a/telemetry/requests.go
+++ b/telemetry/requests.go
@@ -22,7 +22,17 @@
 	if o.Late {
 		m.scope.Tagged(map[string]string{"service": o.Service}).Counter("requests_late_total").Inc(1)
 	}
+	retries := m.scope.Tagged(map[string]string{"service": o.Service})
+	if o.RetryDenied {
+		retries.Counter("retries_denied_total").Inc(1)
+	}
+	if o.ParentRetried {
+		retries.Counter("nested_retries_total").Inc(1)
+	}
 	for i, attempt := range o.Trail {
+		if attempt.Retry {
+			retries.Counter("retries_total").Inc(1)
+		}
 		m.scope.Tagged(map[string]string{
 			"service": o.Service, "attempt": strconv.Itoa(i + 1), "outcome": attempt.Outcome.String(),
 			"reason": string(attempt.Reason), "hedge": strconv.FormatBool(attempt.Hedge),
--- a/telemetry/trail.go
+++ b/telemetry/trail.go
@@ -11,7 +11,8 @@
 // Trail holds the attempts of a request as they are logged.
 type Trail []Attempt
 
-// Attempt describes one attempt of a request. OffsetMS is the time from the receipt
+// Attempt describes one attempt of a request. Retry means that it was charged to the
+// retry budget. OffsetMS is the time from the receipt
 // of the request to the attempt; QueueTimeMS is the part of ElapsedMS that the call
 // spent queued at the admission gate. Running, Limit, Waiting and Slowdown are the
 // load that the gate reported with its answer.
@@ -20,6 +21,7 @@
 	Host        string  `json:"host"`
 	Upstream    string  `json:"upstream"`
 	Hedge       bool    `json:"hedge,omitempty"`
+	Retry       bool    `json:"retry,omitempty"`
 	Outcome     string  `json:"outcome"`
 	Reason      string  `json:"reason,omitempty"`
 	ElapsedMS   int64   `json:"took-ms"`
@@ -35,7 +37,7 @@
 	trail := make(Trail, 0, len(attempts))
 	for _, a := range attempts {
 		trail = append(trail, Attempt{
-			OffsetMS: a.Offset.Milliseconds(), Host: a.Host, Upstream: a.Upstream, Hedge: a.Hedge,
+			OffsetMS: a.Offset.Milliseconds(), Host: a.Host, Upstream: a.Upstream, Hedge: a.Hedge, Retry: a.Retry,
 			Outcome: a.Outcome.String(), Reason: string(a.Reason), ElapsedMS: a.Elapsed.Milliseconds(), QueueTimeMS: a.QueueTime.Milliseconds(),
 			Running: a.Load.Running, Limit: a.Load.Limit, Waiting: a.Load.Waiting, Slowdown: a.Load.Slowdown,
 		})
@@ -55,6 +57,8 @@
 	kind, reason := "", ""
 	if a.Hedge {
 		kind = " hedge"
+	} else if a.Retry {
+		kind = " retry"
 	}
 	if a.Reason != "" {
 		reason = " " + a.Reason
