soak, standin: a storm of kills that drives retries beyond their budget

The soak checks in every run, this scenario and the mixed one, that the retries of each service stay within the budget in any window.

--- a/cmd/banyancross/soak.go
+++ b/cmd/banyancross/soak.go
@@ -15,14 +15,16 @@
 // soakCommand injects faults into fleets of sidecar processes and checks what
 // callers and upstreams see.
 type soakCommand struct {
-	Seed    uint64        `default:"1" help:"The seed of the first run."`
-	Seeds   int           `default:"1" help:"How many runs, each with the next seed."`
-	Nodes   int           `default:"5" help:"How many sidecars a run has."`
-	Span    time.Duration `default:"12s" help:"How long a fleet is disturbed."`
-	Timed   bool          `default:"true" negatable:"" help:"Also check what has a bound in time; not for a machine that is busy."`
-	Program string        `help:"The program to run; this one when empty."`
-	Dir     string        `type:"path" help:"Where settings and logs go; a temporary directory when empty. The logs of runs in which something was violated are kept."`
-	Events  bool          `help:"List the disturbances of each run."`
+	Seed     uint64        `default:"1" help:"The seed of the first run."`
+	Seeds    int           `default:"1" help:"How many runs, each with the next seed."`
+	Nodes    int           `default:"5" help:"How many sidecars a run has."`
+	Span     time.Duration `default:"12s" help:"How long a fleet is disturbed."`
+	Scenario string        `enum:"mixed,kill-storm" default:"mixed" help:"What is injected: all kinds of faults, or kills of nodes while upstreams lose answers."`
+	Think    time.Duration `default:"25ms" help:"The mean time between an answer and the caller's next request."`
+	Timed    bool          `default:"true" negatable:"" help:"Also check what has a bound in time; not for a machine that is busy."`
+	Program  string        `help:"The program to run; this one when empty."`
+	Dir      string        `type:"path" help:"Where settings and logs go; a temporary directory when empty. The logs of runs in which something was violated are kept."`
+	Events   bool          `help:"List the disturbances of each run."`
 }
 
 // Run implements the command.
@@ -62,7 +64,7 @@
 func (command *soakCommand) runSeed(ctx context.Context, c console, program, dir string, seed uint64) (bool, error) {
 	seedDir := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
 	report, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Nodes: command.Nodes, Duration: command.Span, Program: program, Dir: seedDir, CheckTiming: command.Timed,
+		Seed: seed, Scenario: soak.Scenario(command.Scenario), Nodes: command.Nodes, ThinkTime: command.Think, Duration: command.Span, Program: program, Dir: seedDir, CheckTiming: command.Timed,
 	})
 	if err != nil {
 		return false, err
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -144,7 +144,7 @@
 func (f *fleet) publishConfiguration() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.platform.StoreConfiguration(len(f.publishedAt)+1, "stock", routeTimeout)
+	f.platform.StoreConfiguration(len(f.publishedAt)+1, service, f.options.calledService(), routeTimeout)
 	f.publishedAt = append(f.publishedAt, time.Now())
 }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -15,8 +15,6 @@
 	// waitMargin is how long a caller waits for an answer beyond the route timeout,
 	// since a busy machine delays answers.
 	waitMargin = 5 * time.Second
-	// meanThinkTime is the mean time between an answer and the caller's next request.
-	meanThinkTime = 25 * time.Millisecond
 	// callersPerNode is the number of callers that connect to each node.
 	callersPerNode = 3
 )
@@ -56,11 +54,13 @@
 			r.path = fmt.Sprintf("/only-%d/1", r.version)
 		case 1, 2:
 			r.path, r.atMostOnce = "/pay/1", true
-		default:
+		case 3:
 			r.path = "/view/1"
+		default:
+			r.path = standin.NestedPath + "1"
 		}
 		f.send(ctx, c, n, r)
-		sleep(ctx, time.Duration(rng.ExpFloat64()*float64(meanThinkTime)))
+		sleep(ctx, time.Duration(rng.ExpFloat64()*float64(f.options.ThinkTime)))
 	}
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/banyancross/banyancross/standin"
 )
 
 const (
@@ -59,11 +61,12 @@
 		f.checkFailure(r, runs[r.id])
 	}
 	for id := range runs {
-		if !sent[id] {
+		if _, _, nested := standin.NestedParent(id); !nested && !sent[id] {
 			f.recordViolation("%s ran, but no caller sent it", id)
 		}
 	}
 	f.checkVersions()
+	f.checkRetries()
 }
 
 // checkAnswer checks that an answer belongs to its request and agrees with the
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,7 +8,9 @@
 // Events are repeated at random and overlap. The same seed gives the same events;
 // their effect depends on the scheduling of the machine and differs between runs.
 //
-//	report, err := soak.Run(ctx, soak.Options{Seed: 7, Nodes: 5, Duration: 12 * time.Second, Program: path, Dir: dir})
+//	report, err := soak.Run(ctx, soak.Options{
+//		Seed: 7, Nodes: 5, ThinkTime: 25 * time.Millisecond, Duration: 12 * time.Second, Program: path, Dir: dir,
+//	})
 //
 // Callers use persistent connections. During the run and after it, the package
 // checks that
@@ -21,8 +23,13 @@
 //   - planned operations alone fail no request,
 //   - no process goes back to an earlier configuration or answers 404 for a route
 //     that every configuration has,
+//   - the retries of each service, the calls that retried runs make included, stay
+//     within the budget that all nodes share, in any window,
 //   - the fleet serves again after the last event.
 //
+// A KillStorm kills nodes again and again instead, while upstreams lose answers and runs
+// of one service call another one.
+//
 // The upstreams and the store are stand-ins within the process that runs the soak,
 // so that their records survive the faults of the sidecars.
 package soak
--- a/soak/export_test.go
+++ b/soak/export_test.go
@@ -35,7 +35,7 @@
 	if leftAt > 0 {
 		s.leftAt = start.Add(leftAt)
 	}
-	f := &fleet{options: Options{CheckTiming: true}, nodes: []*node{{servers: []*server{s}}}}
+	f := &fleet{options: Options{CheckTiming: true}, nodes: []*node{{service: service, servers: []*server{s}}}}
 	for range 3 {
 		f.publishedAt = append(f.publishedAt, start)
 	}
--- a/soak/node.go
+++ b/soak/node.go
@@ -42,6 +42,9 @@
 type node struct {
 	index int
 	name  string
+	// service is the service of the node's upstream, and calledService the one that its
+	// runs call unless it is the same.
+	service, calledService string
 	// program, settings and logs are file paths.
 	program, settings, logs string
 	// callers and control are the sidecar's addresses for callers and heartbeats.
@@ -75,7 +78,7 @@
 // start the process.
 func newNode(o Options, index int, store string) (n *node, err error) {
 	n = &node{
-		index: index, name: fmt.Sprintf("host-%d", index), program: o.Program, state: "ready",
+		index: index, name: fmt.Sprintf("host-%d", index), service: o.service(index), calledService: o.calledService(), program: o.Program, state: "ready",
 		settings: filepath.Join(o.Dir, fmt.Sprintf("host-%d.toml", index)),
 		logs:     filepath.Join(o.Dir, fmt.Sprintf("host-%d.log", index)),
 	}
@@ -99,7 +102,7 @@
 		return nil, err
 	}
 	sidecarSettings := standin.SidecarSettings{
-		Name: n.name, FailureDomain: fmt.Sprintf("z%d", index%failureDomains), Service: "stock",
+		Name: n.name, FailureDomain: fmt.Sprintf("z%d", index%failureDomains), Service: n.service,
 		Platform: n.store.Address(), Backend: n.upstream.Address(), Callers: free[0], Nodes: free[1], Datagrams: free[2],
 		Ready: free[3], Upstream: free[4], Metrics: free[5], Advertised: n.calls.Address(),
 	}
@@ -148,11 +151,14 @@
 func (n *node) addServer() (*server, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	backend, err := standin.NewBackend(fmt.Sprintf("i-%d-%d", n.index, len(n.servers)), "stock", "z", "127.0.0.1:0")
+	backend, err := standin.NewBackend(fmt.Sprintf("i-%d-%d", n.index, len(n.servers)), n.service, "z", "127.0.0.1:0")
 	if err != nil {
 		return nil, &Error{op: "upstream", kind: KindSetup, err: err}
 	}
 	backend.SetServiceTime(serviceTime)
+	if n.service != n.calledService {
+		backend.SetNestedCalls(nestedCallsPerRun, n.callers)
+	}
 	s := &server{backend: backend}
 	n.servers = append(n.servers, s)
 	n.state = "ready"
--- a/soak/run.go
+++ b/soak/run.go
@@ -27,9 +27,12 @@
 // Options configure a run.
 type Options struct {
 	// Seed is the seed from which events and requests are drawn.
-	Seed uint64
+	Seed     uint64
+	Scenario Scenario
 	// Nodes is the number of sidecars.
 	Nodes int
+	// ThinkTime is the mean time between an answer and the caller's next request.
+	ThinkTime time.Duration
 	// Duration is the period in which events start, apart from their repetitions.
 	Duration time.Duration
 	// Program is the path of the banyancross executable.
@@ -127,8 +130,14 @@
 			callers.Go(func() { f.runCaller(callerCtx, n, i) })
 		}
 	}
-	events := drawEvents(f.options.Seed, f.options.Nodes, f.options.Duration)
+	draw := drawEvents
+	if f.options.Scenario == KillStorm {
+		f.setUpstreamLosses(stormLossShare)
+		draw = drawKills
+	}
+	events := draw(f.options.Seed, f.options.Nodes, f.options.Duration)
 	f.runEvents(ctx, events)
+	f.setUpstreamLosses(0)
 	served := f.waitUntilServing(ctx, "after", recoveryTimeout+f.recoverySlack())
 	stopCalling()
 	callers.Wait()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -97,6 +98,34 @@
 		Expect(violations).To(ContainElement(ContainSubstring("b ran, but no caller sent it")))
 		Expect(violations).To(ContainElement(ContainSubstring("served version 1 after a had been served version 2")))
 	})
+
+	It("report retries beyond the budget, and no violation within it", func() {
+		var records []soak.RequestRecord
+		for i := range 100 {
+			id := fmt.Sprint(i)
+			run(id)
+			if i < 80 {
+				run(id)
+			}
+			records = append(records, soak.RequestRecord{ID: id, Path: "/view/1", Answer: success(id), SentAt: time.Minute})
+		}
+		Expect(soak.Check(records, upstream, start, 0)).To(BeEmpty())
+		run("99")
+		Expect(soak.Check(records, upstream, start, 0)).To(ContainElement("stock got 81 retries within 10s, 1 more than the retry budget allows"))
+	})
+
+	It("count the nested calls of a retried run as retries", func() {
+		run("a")
+		for i := range 61 {
+			run(fmt.Sprintf("a.i-1_%d", i))
+		}
+		Expect(soak.Check([]soak.RequestRecord{{ID: "a", Answer: success("a")}}, upstream, start, 0)).To(BeEmpty())
+		for i := range 61 {
+			run(fmt.Sprintf("a.i-2_%d", i))
+		}
+		Expect(soak.Check([]soak.RequestRecord{{ID: "a", Answer: success("a")}}, upstream, start, 0)).
+			To(ContainElement(ContainSubstring("stock got 61 retries within 10s")))
+	})
 })
 
 var _ = Describe("a forwarder", func() {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -62,6 +63,12 @@
 	At                               time.Time
 }
 
+// Arrival is the receipt of a request, which a Backend then runs or rejects.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // Backend is a stand-in for a backend server that the platform runs and that
 // registers with the sidecar on its host by heartbeats.
 type Backend struct {
@@ -74,9 +81,13 @@
 	// announcedAddress is the address in heartbeats.
 	announcedAddress string
 
-	mu          sync.Mutex
-	faults      []Fault
-	runs        []Run
+	mu       sync.Mutex
+	faults   []Fault
+	runs     []Run
+	arrivals []Arrival
+	// lossShare is the share of runs that end with a closed connection.
+	lossShare   float64
+	nested      nestedCalls
 	sequence    uint64
 	state       string
 	slowdown    int
@@ -156,6 +167,22 @@
 	}
 }
 
+// SetLossShare sets the share of runs that end with a closed connection instead of an
+// answer.
+func (b *Backend) SetLossShare(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lossShare = share
+}
+
+// Arrivals returns all requests that were run or rejected, in the order of their
+// receipt.
+func (b *Backend) Arrivals() []Arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Arrival(nil), b.arrivals...)
+}
+
 // Runs returns all runs, in the order of their start.
 func (b *Backend) Runs() []Run {
 	b.mu.Lock()
@@ -243,6 +270,7 @@
 		answerEarly(w, r, []byte(b.instance))
 		return
 	}
+	b.recordArrival(id)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -265,6 +293,9 @@
 			return
 		}
 	}
+	if fault == "" {
+		fault = b.callOthers(r.Context(), id)
+	}
 	b.writeAnswer(w, r, fault, id, []byte(b.instance+" "+string(body)))
 }
 
@@ -302,11 +333,15 @@
 	return true
 }
 
-// nextFault removes the first queued fault and returns it, or "" if there is none.
+// nextFault removes the first queued fault and returns it. If there is none, it returns
+// FaultDisconnect for the share of requests whose answers are lost, or else "".
 func (b *Backend) nextFault() Fault {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.faults) == 0 {
+		if b.lossShare > 0 && rand.Float64() < b.lossShare {
+			return FaultDisconnect
+		}
 		return ""
 	}
 	fault := b.faults[0]
@@ -314,6 +349,12 @@
 	return fault
 }
 
+func (b *Backend) recordArrival(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals = append(b.arrivals, Arrival{ID: id, At: time.Now()})
+}
+
 func (b *Backend) recordRun(run Run) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
