ingress, egress, hop: charge the nested calls of a retry to the services that are called

Callers saw retries pile up at a service that other services call: in a fleet of 14 processes without a kill it got 704 retries within 10 s where 297 are allowed, 832 of 977 of them calls of retried runs (20 % of the answers lost, 7,158 requests).

Cause: the node that retries a run charged one retry to the service that runs it. The calls of the run were recorded at the called service, but nothing refused them, and the share of the budget that was set aside (0.4 for services whose runs make calls) was one of the calling service's budget, which may be many times that of the called one. Whether a service makes calls was taken from one beacon, and a gate that was restarted reported none.

A retry now needs room in the budget of its service and, by the number of calls that its run is expected to make, in those of the called services. Gates report the calls of each run with its answer, and the entry node averages them by route; so what it knows outlives a restart of the gate. The beacon's mean for a service and its separate share are gone.

The specs of ingress/budget_test.go fail without the charge.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -141,7 +141,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining+answerMargin)
-	recordEnd := g.trackRun(meta)
+	run, recordEnd := g.trackRun(meta)
 	// Finish may be called twice: after the answer was read, and when it is
 	// discarded.
 	var once sync.Once
@@ -177,7 +177,7 @@
 	g.blocklist.Answered(g.clock.Now(), meta.Fingerprint)
 	g.recordOutcome(response.Status >= http.StatusInternalServerError)
 	return &Answer{
-		Meta: hop.AnswerMeta{Outcome: call.Answered, ReachedUpstream: true}, Response: response,
+		Meta: hop.AnswerMeta{Outcome: call.Answered, ReachedUpstream: true, NestedCalls: g.nestedCalls(run)}, Response: response,
 		Finish: func() {
 			response.Release()
 			finish(response.Body.Complete())
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -95,7 +95,6 @@
 	health       health
 	departed     map[incarnation]struct{}
 	runs         map[string]*Run
-	fanout       fanoutCounter
 	notifiedLoad notifiedLoad
 	saturation   saturation
 	// restored holds the estimates from the store, by service.
@@ -192,7 +191,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b.Service, b.Upstream, b.Slots = g.upstream.service, g.upstream.instance, g.upstream.slots
-	b.Phase, b.Load, b.Fanout = g.phase(), g.load(g.clock.Now()), g.fanout.average()
+	b.Phase, b.Load = g.phase(), g.load(g.clock.Now())
 	b.SaturationSlowdown, b.SaturationSamples = float32(g.saturation.own.Slowdown), float32(g.saturation.own.Samples)
 }
 
--- a/egress/run.go
+++ b/egress/run.go
@@ -1,6 +1,7 @@
 package egress
 
 import (
+	"maps"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -21,54 +22,27 @@
 	utilization float64
 	// baselineSpeed means that the host was not slowed down when the run started.
 	baselineSpeed bool
-	// calls counts the calls that the run makes to other upstreams.
-	calls int
+	// calls counts the calls that the run makes, by the called service.
+	calls map[string]int
 }
 
-const (
-	// fanoutWindow is the number of runs that the fanout is averaged over.
-	fanoutWindow = 200
-	// maxBaselineSlowdown is the slowdown up to which a host counts as not slowed
-	// down.
-	maxBaselineSlowdown = 1.2
-)
-
-// fanoutCounter counts runs and the calls that they make to other upstreams.
-type fanoutCounter struct {
-	runs, calls float64
-}
+// maxBaselineSlowdown is the slowdown up to which a host counts as not slowed down.
+const maxBaselineSlowdown = 1.2
 
-// average returns the mean number of calls per run.
-func (c fanoutCounter) average() float32 {
-	if c.runs == 0 {
-		return 0
-	}
-	return float32(c.calls / c.runs)
-}
-
-// recordRun counts a run. It halves the weight of earlier runs when the window is
-// full.
-func (c *fanoutCounter) recordRun() {
-	if c.runs >= fanoutWindow {
-		c.runs, c.calls = c.runs/2, c.calls/2
-	}
-	c.runs++
-}
-
-// trackRun records the start of a run and returns the function that records its
+// trackRun records the start of a run and returns it with the function that records its
 // end.
-func (g *Gate) trackRun(meta hop.Meta) func(answered bool) {
+func (g *Gate) trackRun(meta hop.Meta) (run *Run, recordEnd func(answered bool)) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	run := &Run{
+	run = &Run{
 		Depth: meta.Depth, Repeated: meta.Repeated, route: meta.Route, started: now,
 		utilization: g.slotUtilization(now), baselineSpeed: g.health.slowdownAt(now) <= maxBaselineSlowdown,
+		calls: map[string]int{},
 	}
 	g.runs[meta.ID] = run
-	g.fanout.recordRun()
 	instance := g.upstream.instance
-	return func(answered bool) {
+	return run, func(answered bool) {
 		now := g.clock.Now()
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -78,7 +52,7 @@
 		if answered {
 			g.recordRunTime(run.route, now.Sub(run.started))
 		}
-		if answered && run.calls == 0 && run.baselineSpeed && g.health.slowdownAt(now) <= maxBaselineSlowdown && g.upstream.instance == instance {
+		if answered && len(run.calls) == 0 && run.baselineSpeed && g.health.slowdownAt(now) <= maxBaselineSlowdown && g.upstream.instance == instance {
 			g.saturation.observe(run.route, now.Sub(run.started), (run.utilization+g.slotUtilization(now))/2)
 			g.updateSlotShare()
 		}
@@ -174,9 +148,9 @@
 	return float64(g.admission.Load(now).Running) / float64(max(g.upstream.slots, 1))
 }
 
-// RecordNestedCall counts a call that the run of request id makes, and returns
-// that run if it is running here.
-func (g *Gate) RecordNestedCall(id string) (Run, bool) {
+// RecordNestedCalls counts calls to a service that the run of request id makes, and
+// returns that run if it is running here.
+func (g *Gate) RecordNestedCalls(id, service string, calls int) (Run, bool) {
 	if id == "" {
 		return Run{}, false
 	}
@@ -186,7 +160,13 @@
 	if run == nil {
 		return Run{}, false
 	}
-	run.calls++
-	g.fanout.calls++
+	run.calls[service] += calls
 	return *run, true
 }
+
+// nestedCalls returns the calls that a run has made so far, by the called service.
+func (g *Gate) nestedCalls(run *Run) map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(run.calls)
+}
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -62,9 +62,8 @@
 	Revision uint64 `cbor:"12,keyasint,omitempty"`
 	// Stopping means that the node is shutting down.
 	Stopping bool `cbor:"13,keyasint,omitempty"`
-	// Fanout is the mean number of calls that a run at the upstream makes to other
-	// upstreams.
-	Fanout float32 `cbor:"15,keyasint,omitempty"`
+	// Earlier versions use key 15 for another value.
+
 	// SaturationSlowdown is the ratio of run times at high utilization of the slots
 	// to those at low utilization, estimated from SaturationSamples samples.
 	SaturationSlowdown float32 `cbor:"16,keyasint,omitempty"`
@@ -118,7 +117,7 @@
 	if b.Slots < 0 || b.Slots > call.MaxSlots {
 		return eris.Errorf("%d slots are out of range", b.Slots)
 	}
-	for _, ratio := range []float32{b.Load.Slowdown, b.Fanout, b.SaturationSlowdown, b.SaturationSamples} {
+	for _, ratio := range []float32{b.Load.Slowdown, b.SaturationSlowdown, b.SaturationSamples} {
 		// The comparisons are false for NaN.
 		if !(ratio >= 0 && ratio <= math.MaxFloat32) {
 			return eris.Errorf("ratio %v is out of range", ratio)
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -95,6 +95,8 @@
 	// QueueTime is how long the call was queued at the gate before it ran or was
 	// refused.
 	QueueTime time.Duration `cbor:"9,keyasint,omitempty"`
+	// NestedCalls counts the calls that the run made, by the called service.
+	NestedCalls map[string]int `cbor:"10,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -10,7 +11,8 @@
 )
 
 // RetryBudget bounds the retries and hedges that all nodes together send within
-// any span of Window.
+// any span of Window. A nested call of a retried run counts as a retry of the called
+// service.
 type RetryBudget struct {
 	// Ratio is the number of retries allowed per request.
 	Ratio float64
@@ -20,18 +22,11 @@
 }
 
 const (
-	// leafShare is the share of the budget that is spent on upstreams that call
-	// no others. The nodes share the bound but not their counts, and each divides
-	// the slack by the number of nodes in its view: the rest of the budget covers
-	// a view that lacks a quarter of the nodes because they are silent.
-	leafShare = 0.75
-	// parentShare is the same for upstreams that call others. The nested calls of
-	// a retry count as retries of the called services, which spend leafShare
-	// themselves: together they stay below the bound.
-	parentShare = 0.4
-	// maxLeafFanout is the mean number of nested calls per run up to which an
-	// upstream counts as one that calls no others.
-	maxLeafFanout = 0.1
+	// budgetShare is the share of the budget that is spent. The nodes share the bound
+	// but not their counts, and each divides the slack by the number of nodes in its
+	// view: the rest of the budget covers a view that lacks a quarter of the nodes
+	// because they are silent, and runs that make more calls than expected.
+	budgetShare = 0.75
 	// windowBuckets is the number of buckets in the window; the window's length
 	// is exact to one bucket, a tenth of it.
 	windowBuckets = 10
@@ -59,10 +54,11 @@
 	// Nodes is the least number of nodes that the slack was divided by since the latest
 	// report, 0 without a decision.
 	Nodes int
-	// Requests and Retries are those in the current window.
+	// Requests and Retries are those in the current window. Retries include the nested
+	// calls that retried runs were expected to make.
 	Requests, Retries float64
 	// Granted, Denied and Refunded count the decisions on retries since the latest
-	// report, and Nested the nested calls of retried runs.
+	// report, and Nested the nested calls of retried runs that came to this node.
 	Granted, Denied, Refunded, Nested int
 }
 
@@ -76,6 +72,23 @@
 	bucket int64
 }
 
+// retryCharge is what a retry takes from the budgets: one retry of the service that runs
+// it, and the nested calls of the run from the services that it calls.
+type retryCharge struct {
+	service string
+	amounts map[string]float64
+}
+
+// newRetryCharge returns the charge for a retry whose run makes calls to other services.
+func newRetryCharge(service string, calls map[string]float64) *retryCharge {
+	c := &retryCharge{service: service, amounts: maps.Clone(calls)}
+	if c.amounts == nil {
+		c.amounts = map[string]float64{}
+	}
+	c.amounts[service]++
+	return c
+}
+
 // window returns the counts of a service, without the buckets that have left the
 // window at now; b.mu is held.
 func (b *retryBudgets) window(now time.Time, name string) *sendWindow {
@@ -136,52 +149,51 @@
 	w.requests[w.bucket%windowBuckets]++
 }
 
-// recordRetry counts a nested call of a run that is itself a retry: such a call
-// counts as a retry, not as a request.
-func (b *retryBudgets) recordRetry(now time.Time, name string) {
+// recordNested counts a nested call of a retried run, which is charged already.
+func (b *retryBudgets) recordNested(now time.Time, name string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(now, name)
-	w.retries[w.bucket%windowBuckets]++
-	w.unreported.Nested++
+	b.window(now, name).unreported.Nested++
 }
 
-// spend charges one retry to the budget of a service and reports whether there was
-// one left. reserve is the share of the budget that must remain unspent.
-func (b *retryBudgets) spend(now time.Time, name string, fanout float32, reserve float64) bool {
+// spend takes the charge for one retry from the budgets and reports whether all of them
+// have room for it. reserve is the share of the budgets that must remain unspent.
+func (b *retryBudgets) spend(now time.Time, c *retryCharge, reserve float64) bool {
 	nodes := b.view.Len() + 1
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(now, name)
-	requests, retries := w.totals()
-	share := leafShare
-	if fanout > maxLeafFanout {
-		share = parentShare
-	}
-	allowed := share * (b.bounds.Ratio*requests + b.bounds.Slack/float64(nodes))
-	if least := w.unreported.Nodes; least == 0 || nodes < least {
-		w.unreported.Nodes = nodes
+	for name, amount := range c.amounts {
+		w := b.window(now, name)
+		if least := w.unreported.Nodes; least == 0 || nodes < least {
+			w.unreported.Nodes = nodes
+		}
+		requests, retries := w.totals()
+		allowed := budgetShare * (b.bounds.Ratio*requests + b.bounds.Slack/float64(nodes))
+		if amount > 0 && retries+amount > allowed*(1-reserve) {
+			w.unreported.Denied++
+			return false
+		}
 	}
-	if retries+1 > allowed*(1-reserve) {
-		w.unreported.Denied++
-		return false
+	for name, amount := range c.amounts {
+		w := b.window(now, name)
+		w.retries[w.bucket%windowBuckets] += amount
 	}
-	w.retries[w.bucket%windowBuckets]++
-	w.unreported.Granted++
+	b.services[c.service].unreported.Granted++
 	return true
 }
 
 // refund returns the charge for a retry that did not reach an upstream.
-func (b *retryBudgets) refund(now time.Time, name string) {
+func (b *retryBudgets) refund(now time.Time, c *retryCharge) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(now, name)
-	w.unreported.Refunded++
-	for i := range windowBuckets {
-		at := (w.bucket - int64(i) + windowBuckets) % windowBuckets
-		if w.retries[at] > 0 {
-			w.retries[at]--
-			return
+	for name, amount := range c.amounts {
+		w := b.window(now, name)
+		for i := range windowBuckets {
+			at := (w.bucket - int64(i) + windowBuckets) % windowBuckets
+			returned := min(amount, w.retries[at])
+			w.retries[at] -= returned
+			amount -= returned
 		}
 	}
+	b.services[c.service].unreported.Refunded++
 }
--- /dev/null
+++ b/ingress/budget_test.go
@@ -0,0 +1,70 @@
+package ingress_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/clock"
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/ingress"
+)
+
+var _ = Describe("a request whose runs call another service", func() {
+	// Guards against retries that pile up at the services that retried runs call.
+	DescribeTable("is retried within the budget of that service, too",
+		func(answered, callsPerRun, chargedCalls int) {
+			budget := ingress.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+			const hosts, requests = 6, 300
+			address := responder()
+			pool := http1.NewPool(address, func(ctx context.Context, address string) (net.Conn, error) {
+				return new(net.Dialer).DialContext(ctx, "tcp", address)
+			}, clock.System{}, time.Minute)
+			DeferCleanup(pool.Close)
+			var mu sync.Mutex
+			arrivals := 0
+			_, entry := start(setup{idempotent: true, attempts: 2, hosts: hosts, budget: budget, calledService: "price"},
+				func(_ string, meta hop.Meta) *egress.Answer {
+					mu.Lock()
+					defer mu.Unlock()
+					arrivals++
+					if arrivals > answered {
+						return connectionLost()
+					}
+					response, err := pool.Do(context.Background(), &http1.OutgoingRequest{Method: http.MethodGet, Target: "/ok", Host: "x", Header: http.Header{}})
+					Expect(err).NotTo(HaveOccurred())
+					answerMeta := hop.AnswerMeta{
+						ID: meta.ID, Outcome: call.Answered, ReachedUpstream: true, NestedCalls: map[string]int{"price": callsPerRun},
+					}
+					return &egress.Answer{Meta: answerMeta, Response: response, Finish: response.Release}
+				})
+			for i := range requests {
+				get(entry, fmt.Sprint(i))
+			}
+			retries := arrivals - requests
+			Expect(retries).To(BeNumerically(">", 0))
+			// No caller requests the called service, so its budget is the slack.
+			Expect(float64(retries * chargedCalls)).To(BeNumerically("<=", budget.Slack/hosts))
+		},
+		Entry("when its runs are known to make calls", 20, 2, 2),
+		Entry("before any run has ended", 0, 2, 1),
+	)
+
+	It("is not hedged", func() {
+		sender, address := start(setup{
+			idempotent: true, attempts: 2, hosts: 3, budget: largeBudget, calledService: "price",
+			timeout: 300 * time.Millisecond, objective: 100 * time.Millisecond,
+		}, func(string, hop.Meta) *egress.Answer { return nil })
+		Expect(get(address, "a").StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(sender.attempts()).To(HaveLen(1))
+	})
+})
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -68,7 +68,7 @@
 		b := a.peer.Beacon()
 		s.trail = append(s.trail, AttemptRecord{
 			Host: b.Host, Upstream: b.Upstream, Reason: call.ReasonUnfinished, Hedge: a.hedge,
-			Retry: a.charged, Offset: a.started.Sub(s.received), Elapsed: now.Sub(a.started),
+			Retry: a.charge != nil, Offset: a.started.Sub(s.received), Elapsed: now.Sub(a.started),
 		})
 	}
 	o := Observation{
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -89,7 +89,8 @@
 	policy        *routing.LeastCost
 	retryBudgets  *retryBudgets
 	observe       func(Observation)
-	parentRun     func(id string) (egress.Run, bool)
+	parentRun     ParentLookup
+	nestedCalls   *nestedCalls
 	host          string
 	blocklist     *quarantine.Blocklist
 	transferUnit  int64
@@ -114,9 +115,12 @@
 	return func(in *Ingress) { in.observe = observe }
 }
 
-// WithParentLookup sets the function that finds the run that makes a nested call,
-// by the run's identity.
-func WithParentLookup(parentRun func(id string) (egress.Run, bool)) Option {
+// ParentLookup records nested calls to a service and returns the run of request id that
+// makes them, if it is running on this host.
+type ParentLookup func(id, service string, calls int) (egress.Run, bool)
+
+// WithParentLookup sets the function that finds the run that makes a nested call.
+func WithParentLookup(parentRun ParentLookup) Option {
 	return func(in *Ingress) { in.parentRun = parentRun }
 }
 
@@ -163,8 +167,9 @@
 		clock: clock.System{}, table: table, callerService: callerService, failureDomain: failureDomain,
 		view: view, sender: sender, observe: func(Observation) {}, meanTimes: map[string]time.Duration{}, meanSizes: map[string]int64{},
 		blocklist: quarantine.NewBlocklist(), transferUnit: routing.DefaultTransferUnit, suspected: func(string) {},
-		parentRun: func(string) (egress.Run, bool) { return egress.Run{}, false },
-		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		parentRun:   func(string, string, int) (egress.Run, bool) { return egress.Run{}, false },
+		nestedCalls: newNestedCalls(),
+		rng:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	in.retryBudgets = newRetryBudgets(RetryBudget{}, view)
 	for _, option := range options {
@@ -224,10 +229,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	if run, ok := in.parentRun(s.headers.ParentID()); ok {
+	if run, ok := in.parentRun(s.headers.ParentID(), s.service, 1); ok {
 		s.depth, s.parentRetried = run.Depth+1, run.Repeated
 		if run.Repeated {
-			in.retryBudgets.recordRetry(s.received, s.service)
+			in.retryBudgets.recordNested(s.received, s.service)
 		}
 	} else {
 		in.retryBudgets.recordRequest(s.received, s.service)
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -86,8 +86,8 @@
 	declinable bool
 	// minSlowdown is the lowest slowdown among the upstreams to choose from.
 	minSlowdown float32
-	// charged means that the attempt was charged to the retry budget.
-	charged bool
+	// charge is what the attempt took from the retry budget, nil for the first arrival.
+	charge *retryCharge
 	// repeated means that an earlier attempt has run, runs, or may have run.
 	repeated bool
 }
@@ -141,6 +141,9 @@
 func (s *session) handleResult(r *result) bool {
 	s.finishAttempt(r)
 	meta := r.answer.Meta
+	if meta.Outcome == call.Answered {
+		s.recordNestedCalls(meta.NestedCalls)
+	}
 	switch {
 	case meta.Outcome == call.Answered && !s.shouldRetryResponse(r):
 		s.in.recordSuccess(s.route.Name, s.in.clock.Now().Sub(r.attempt.started), r.size())
@@ -152,8 +155,8 @@
 	case meta.Outcome == call.NotRun && !meta.ReachedUpstream:
 		s.attempts--
 		s.arrivals--
-		if r.attempt.charged {
-			s.in.retryBudgets.refund(s.in.clock.Now(), s.service)
+		if r.attempt.charge != nil {
+			s.in.retryBudgets.refund(s.in.clock.Now(), r.attempt.charge)
 		}
 		s.reason = meta.Reason
 		if r.attempt.declinable && meta.FromGate && s.local(r.attempt.peer) {
@@ -177,8 +180,7 @@
 // upstream. An upstream that calls others mostly fails because one of those
 // fails, so its errors are not retried.
 func (s *session) shouldRetryResponse(r *result) bool {
-	return r.status() >= http.StatusInternalServerError && s.route.Idempotent &&
-		r.attempt.peer.Beacon().Fanout <= maxLeafFanout
+	return r.status() >= http.StatusInternalServerError && s.route.Idempotent && !s.callsOthers()
 }
 
 // finishAttempt moves an attempt from inFlight to the trail.
@@ -193,7 +195,7 @@
 	meta := r.answer.Meta
 	record := AttemptRecord{
 		Host: r.attempt.peer.Beacon().Host, Upstream: r.attempt.peer.Beacon().Upstream, Outcome: meta.Outcome,
-		Reason: meta.Reason, Hedge: r.attempt.hedge, Retry: r.attempt.charged, Offset: r.attempt.started.Sub(s.received), Elapsed: now.Sub(r.attempt.started),
+		Reason: meta.Reason, Hedge: r.attempt.hedge, Retry: r.attempt.charge != nil, Offset: r.attempt.started.Sub(s.received), Elapsed: now.Sub(r.attempt.started),
 		QueueTime: meta.QueueTime,
 	}
 	if meta.Load != nil {
@@ -229,14 +231,16 @@
 	}
 	serving := s.in.view.Serving(s.service)
 	peers := s.candidates(serving, hedge)
-	if len(peers) == 0 || (hedge && peers[0].Beacon().Fanout > maxLeafFanout) {
+	if len(peers) == 0 || (hedge && s.callsOthers()) {
 		return false
 	}
 	now := s.in.clock.Now()
-	charged := s.arrivals > 0
-	if charged && !s.spendRetry(now, peers[0].Beacon().Fanout, hedge) {
-		s.retryDenied = true
-		return false
+	var charge *retryCharge
+	if s.arrivals > 0 {
+		if charge = s.spendRetry(now, hedge); charge == nil {
+			s.retryDenied = true
+			return false
+		}
 	}
 	peer, declinable := s.place(now, peers, hedge)
 	name := peer.Beacon().Host
@@ -250,7 +254,7 @@
 	delete(s.declinedLocal, name)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a := &attempt{
-		peer: peer, cancel: cancel, started: now, hedge: hedge, declinable: declinable, charged: charged,
+		peer: peer, cancel: cancel, started: now, hedge: hedge, declinable: declinable, charge: charge,
 		repeated: s.mayHaveRun(), minSlowdown: minSlowdown(serving),
 	}
 	s.inFlight = append(s.inFlight, a)
@@ -260,17 +264,18 @@
 	return true
 }
 
-// spendRetry charges another attempt to the retry budget and reports whether it is
-// within the budget. fanout is that of the service's upstreams.
-func (s *session) spendRetry(now time.Time, fanout float32, hedge bool) bool {
+// spendRetry takes another attempt from the retry budget and returns the charge, nil if
+// the budget does not allow it.
+func (s *session) spendRetry(now time.Time, hedge bool) *retryCharge {
 	reserve := 0.0
 	if hedge {
 		reserve = hedgeReserveShare
 	}
-	if !s.mayHaveRun() {
-		fanout = 0
+	charge := newRetryCharge(s.service, s.expectedCalls())
+	if !s.in.retryBudgets.spend(now, charge, reserve) {
+		return nil
 	}
-	return s.in.retryBudgets.spend(now, s.service, fanout, reserve)
+	return charge
 }
 
 // mayHaveRun reports whether an attempt has run, may have run, or is in flight.
--- a/route/table.go
+++ b/route/table.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -120,6 +122,11 @@
 	return service, ok
 }
 
+// ServiceNames returns the names of all services, sorted.
+func (t *Table) ServiceNames() []string {
+	return slices.Sorted(maps.Keys(t.definition.Services))
+}
+
 // Match returns the route for a host and path, nil if there is none.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.hosts[canonicalHost(host)] {
