ingress: a process has no share of the retry slack until the retries of an earlier one expire

Cause: a node counts its retries in memory. Each process of a node began with the whole share of the slack, so a node that was killed five times in a window spent it six times. While it knew few others it divided the slack by 5 to 13 nodes instead of 15 (retry-budget lines of 14 processes).

For the first window after its start a process now has the ratio only, for the requests that it has taken itself, which no other process counts. Its view is complete before it gets a share of the slack. So that processes which end before they earn a whole retry do not go without, each draws the share of a retry that it may spend in advance; on average they spend what they earn.

The spec of a process that has just started fails without the change.

--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -36,16 +36,30 @@
 type retryBudgets struct {
 	bounds RetryBudget
 	view   *fleet.View
-	// origin is the start of bucket 0. Buckets are numbered by the monotonic time
-	// since then, because the wall clock may be set back.
-	origin time.Time
+	// started is when the process started, and the start of bucket 0. Buckets are
+	// numbered by the monotonic time since then, because the wall clock may be set back.
+	started time.Time
+	// advance is the share of a retry that may be spent before it is earned, from 0 to 1.
+	// It is drawn for each process, so that processes which end before they earn a whole
+	// retry spend on average what they earn, and not nothing.
+	advance float64
 
 	mu       sync.Mutex
 	services map[string]*sendWindow
 }
 
-func newRetryBudgets(b RetryBudget, view *fleet.View) *retryBudgets {
-	return &retryBudgets{bounds: b, view: view, services: map[string]*sendWindow{}}
+func newRetryBudgets(b RetryBudget, view *fleet.View, started time.Time, advance float64) *retryBudgets {
+	return &retryBudgets{bounds: b, view: view, started: started, advance: advance, services: map[string]*sendWindow{}}
+}
+
+// slack returns this node's share of the slack. An earlier process of the node may have
+// used it up, so a new one has none for as long as that counts. Its view of the other nodes
+// is complete by then, too.
+func (b *retryBudgets) slack(now time.Time, nodes int) float64 {
+	if now.Sub(b.started) < b.bounds.Window {
+		return 0
+	}
+	return b.bounds.Slack / float64(nodes)
 }
 
 // RetryUsage is the use of a node's share of the retry budget of a service.
@@ -98,10 +112,7 @@
 		b.services[name] = w
 	}
 	span := max(b.bounds.Window/windowBuckets, time.Millisecond)
-	if b.origin.IsZero() {
-		b.origin = now
-	}
-	bucket := int64(now.Sub(b.origin) / span)
+	bucket := int64(now.Sub(b.started) / span)
 	for next := max(w.bucket+1, bucket-windowBuckets+1); next <= bucket; next++ {
 		w.requests[next%windowBuckets], w.retries[next%windowBuckets] = 0, 0
 	}
@@ -168,8 +179,8 @@
 			w.unreported.Nodes = nodes
 		}
 		requests, retries := w.totals()
-		allowed := budgetShare * (b.bounds.Ratio*requests + b.bounds.Slack/float64(nodes))
-		if amount > 0 && retries+amount > allowed*(1-reserve) {
+		allowed := budgetShare * (b.bounds.Ratio*requests + b.slack(now, nodes))
+		if amount > 0 && retries+amount*(1-b.advance) > allowed*(1-reserve) {
 			w.unreported.Denied++
 			return false
 		}
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -68,3 +68,24 @@
 		Expect(sender.attempts()).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("the retry budget of a node", func() {
+	// Guards against processes of one node that spend its share of the slack again after
+	// each restart.
+	DescribeTable("includes the node's share of the slack",
+		func(uptime time.Duration, most int) {
+			const hosts, requests = 6, 20
+			budget := ingress.RetryBudget{Slack: 60, Window: 10 * time.Second}
+			sender, entry := start(setup{idempotent: true, attempts: 2, hosts: hosts, budget: budget, uptime: uptime},
+				func(string, hop.Meta) *egress.Answer { return connectionLost() })
+			for i := range requests {
+				get(entry, fmt.Sprint(i))
+			}
+			retries := len(sender.attempts()) - requests
+			Expect(retries > 0).To(Equal(most > 0))
+			Expect(retries).To(BeNumerically("<=", most))
+		},
+		Entry("once the retries of an earlier process no longer count", 10*time.Second, 10),
+		Entry("but not before", time.Nanosecond, 0),
+	)
+})
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -87,7 +87,9 @@
 	view          *fleet.View
 	sender        Sender
 	policy        *routing.LeastCost
+	retryBudget   RetryBudget
 	retryBudgets  *retryBudgets
+	started       time.Time
 	observe       func(Observation)
 	parentRun     ParentLookup
 	nestedCalls   *nestedCalls
@@ -134,9 +136,12 @@
 
 // WithRetryBudget sets the retry budget that all nodes share.
 func WithRetryBudget(b RetryBudget) Option {
-	return func(in *Ingress) { in.retryBudgets = newRetryBudgets(b, in.view) }
+	return func(in *Ingress) { in.retryBudget = b }
 }
 
+// WithStart sets when the process started, in place of the time of New.
+func WithStart(started time.Time) Option { return func(in *Ingress) { in.started = started } }
+
 // WithSuspicion sets a function that is called when a node becomes silent because
 // a call could not reach it.
 func WithSuspicion(suspected func(host string)) Option {
@@ -171,10 +176,13 @@
 		nestedCalls: newNestedCalls(),
 		rng:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	in.retryBudgets = newRetryBudgets(RetryBudget{}, view)
 	for _, option := range options {
 		option(in)
 	}
+	if in.started.IsZero() {
+		in.started = in.clock.Now()
+	}
+	in.retryBudgets = newRetryBudgets(in.retryBudget, view, in.started, in.rng.Float64())
 	in.policy = routing.NewLeastCost(rand.New(rand.NewPCG(in.rng.Uint64(), in.rng.Uint64())), routing.WithTransferUnit(in.transferUnit))
 	return in
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -90,6 +90,8 @@
 	// loads holds the load of each host. If it is set, the first host is in the
 	// failure domain of the ingress and the others are not.
 	loads []call.Load
+	// uptime is the age of the process, a minute if it is not set.
+	uptime time.Duration
 	// calledService is a service that no route leads to, "" for none.
 	calledService string
 }
@@ -129,7 +131,7 @@
 	}
 	sender := &fakeSender{do: do}
 	in := ingress.New("z1", func() *route.Table { return table }, func() string { return "stock" }, view, sender,
-		ingress.WithRetryBudget(s.budget), ingress.WithSeed(1))
+		ingress.WithRetryBudget(s.budget), ingress.WithStart(time.Now().Add(-cmp.Or(s.uptime, time.Minute))), ingress.WithSeed(1))
 	in.SetMeanSize("r", s.meanResponseBytes)
 	for _, b := range beacons {
 		if len(s.loads) > 0 {
