ingress: a retry counts for a whole window after it can have reached the upstream

A node forgot its retries too early in two ways. The window had ten buckets of a tenth of it, the unfinished one included, so that two bursts of retries 9.5 s apart were both within the budget, although any 10 s count. And the charge of a retry that a gate declined was taken off the latest bucket, so that the earlier one expired in place of a later retry.

Retries are kept for two buckets more than requests: one makes the window whole, the other covers the time from the charge until the upstream receives the retry, which may be queued. A refund goes to the bucket that was charged.

--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -27,9 +27,12 @@
 	// view: the rest of the budget covers a view that lacks a quarter of the nodes
 	// because they are silent, and runs that make more calls than expected.
 	budgetShare = 0.75
-	// windowBuckets is the number of buckets in the window; the window's length
-	// is exact to one bucket, a tenth of it.
-	windowBuckets = 10
+	// requestBuckets is the number of buckets in a window. The latest is not over, so
+	// that requests count for a little less than the window.
+	requestBuckets = 10
+	// retryBuckets is the number of buckets for which a retry counts: those of a whole
+	// window, the latest, and one for the time until it reaches the upstream.
+	retryBuckets = requestBuckets + 2
 )
 
 // retryBudgets accounts for this node's share of the budget, by service.
@@ -56,7 +59,7 @@
 // used it up, so a new one has none for as long as that counts. Its view of the other nodes
 // is complete by then, too.
 func (b *retryBudgets) slack(now time.Time, nodes int) float64 {
-	if now.Sub(b.started) < b.bounds.Window {
+	if now.Sub(b.started) < retryBuckets*b.span() {
 		return 0
 	}
 	return b.bounds.Slack / float64(nodes)
@@ -68,8 +71,8 @@
 	// Nodes is the least number of nodes that the slack was divided by since the latest
 	// report, 0 without a decision.
 	Nodes int
-	// Requests and Retries are those in the current window. Retries include the nested
-	// calls that retried runs were expected to make.
+	// Requests and Retries are those that count now. Retries include the nested calls that
+	// retried runs were expected to make.
 	Requests, Retries float64
 	// Granted, Denied and Refunded count the decisions on retries since the latest
 	// report, and Nested the nested calls of retried runs that came to this node.
@@ -80,8 +83,8 @@
 type sendWindow struct {
 	// unreported holds the counts since the latest report.
 	unreported RetryUsage
-	requests   [windowBuckets]float64
-	retries    [windowBuckets]float64
+	requests   [retryBuckets]float64
+	retries    [retryBuckets]float64
 	// bucket is the number of the latest bucket.
 	bucket int64
 }
@@ -91,6 +94,8 @@
 type retryCharge struct {
 	service string
 	amounts map[string]float64
+	// bucket is the number of the bucket that it was taken from.
+	bucket int64
 }
 
 // newRetryCharge returns the charge for a retry whose run makes calls to other services.
@@ -103,6 +108,11 @@
 	return c
 }
 
+// span returns the length of a bucket.
+func (b *retryBudgets) span() time.Duration {
+	return max(b.bounds.Window/requestBuckets, time.Millisecond)
+}
+
 // window returns the counts of a service, without the buckets that have left the
 // window at now; b.mu is held.
 func (b *retryBudgets) window(now time.Time, name string) *sendWindow {
@@ -111,23 +121,22 @@
 		w = &sendWindow{}
 		b.services[name] = w
 	}
-	span := max(b.bounds.Window/windowBuckets, time.Millisecond)
-	bucket := int64(now.Sub(b.started) / span)
-	for next := max(w.bucket+1, bucket-windowBuckets+1); next <= bucket; next++ {
-		w.requests[next%windowBuckets], w.retries[next%windowBuckets] = 0, 0
-	}
-	if bucket > w.bucket {
-		w.bucket = bucket
+	bucket := int64(now.Sub(b.started) / b.span())
+	for next := max(w.bucket+1, bucket-retryBuckets+1); next <= bucket; next++ {
+		w.requests[next%retryBuckets], w.retries[next%retryBuckets] = 0, 0
 	}
+	w.bucket = max(w.bucket, bucket)
 	return w
 }
 
 // totals returns the requests and retries in the window.
 func (w *sendWindow) totals() (requests, retries float64) {
-	for i := range windowBuckets {
-		requests += w.requests[i]
+	for i := range w.retries {
 		retries += w.retries[i]
 	}
+	for bucket := max(w.bucket-requestBuckets+1, 0); bucket <= w.bucket; bucket++ {
+		requests += w.requests[bucket%retryBuckets]
+	}
 	return requests, retries
 }
 
@@ -157,7 +166,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, name)
-	w.requests[w.bucket%windowBuckets]++
+	w.requests[w.bucket%retryBuckets]++
 }
 
 // recordNested counts a nested call of a retried run, which is charged already.
@@ -187,7 +196,8 @@
 	}
 	for name, amount := range c.amounts {
 		w := b.window(now, name)
-		w.retries[w.bucket%windowBuckets] += amount
+		w.retries[w.bucket%retryBuckets] += amount
+		c.bucket = w.bucket
 	}
 	b.services[c.service].unreported.Granted++
 	return true
@@ -198,12 +208,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, amount := range c.amounts {
-		w := b.window(now, name)
-		for i := range windowBuckets {
-			at := (w.bucket - int64(i) + windowBuckets) % windowBuckets
-			returned := min(amount, w.retries[at])
-			w.retries[at] -= returned
-			amount -= returned
+		if w := b.window(now, name); c.bucket > w.bucket-retryBuckets {
+			w.retries[c.bucket%retryBuckets] -= amount
 		}
 	}
 	b.services[c.service].unreported.Refunded++
