http1: interim responses share the limit of the head that follows them

An operator of a similar system lost a machine to an upstream that sent bytes without end.

The soak's upstreams send endless heads, interim responses and chunk extensions, too. The faults of the stand-in move to a file of their own.

--- a/http1/pool.go
+++ b/http1/pool.go
@@ -16,7 +16,8 @@
 const (
 	// readBufferSize is the read buffer of a connection, in bytes.
 	readBufferSize = 4 << 10
-	// maxResponseHead bounds the head of a response, in bytes.
+	// maxResponseHead bounds the head of a response and the interim responses before it,
+	// in bytes.
 	maxResponseHead = 64 << 10
 	// maxStaleResponses is how many responses to earlier requests are discarded
 	// before a connection is closed.
@@ -202,16 +203,16 @@
 	} else {
 		go func() { c.sendResult <- c.send(head, out) }()
 	}
+	c.limited.remaining = maxResponseHead
 	for stale := 0; ; {
-		c.limited.remaining = maxResponseHead
 		response, err := readResponse(c.br, c.limited, out.Method)
 		if err != nil {
 			return nil, err
 		}
-		c.limited.remaining = unlimited
 		if response.Status < 200 {
 			continue
 		}
+		c.limited.remaining = unlimited
 		if out.Accept == nil || out.Accept(response) {
 			return response, nil
 		}
@@ -225,6 +226,7 @@
 		if !response.keepAlive {
 			return nil, eris.New("connection closed after the response to another request")
 		}
+		c.limited.remaining = maxResponseHead
 	}
 }
 
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -41,7 +41,8 @@
 	case upstreamFaults:
 		s, _ := n.currentServer()
 		s.backend.InjectFaults(standin.FaultDisconnect, standin.FaultShed, standin.FaultError, standin.FaultTruncate, standin.FaultMalformed, standin.FaultUnstamped,
-			standin.FaultTruncateHead, standin.FaultLongTrailer, standin.FaultLongError, standin.FaultRepeatRejection)
+			standin.FaultTruncateHead, standin.FaultLongTrailer, standin.FaultLongError, standin.FaultRepeatRejection,
+			standin.FaultEndlessHead, standin.FaultEndlessInterim, standin.FaultEndlessExtension)
 	case upstreamReplaced:
 		f.replaceUpstream(ctx, n, e.duration)
 	case storeDropped:
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -9,54 +9,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
 
-// Fault is a fault that a Backend injects into one request.
-type Fault string
-
-// The faults of a Backend.
-const (
-	// FaultDisconnect runs the request and closes the connection without an answer.
-	FaultDisconnect Fault = "lost"
-	// FaultHang runs the request and keeps the connection open without an answer.
-	FaultHang Fault = "mute"
-	// FaultCrash closes the server while it runs the request.
-	FaultCrash Fault = "crash"
-	// FaultShed rejects the request with status 503 and does not run it.
-	FaultShed Fault = "shed"
-	// FaultError runs the request and answers with status 500.
-	FaultError Fault = "error"
-	// FaultEarlyAnswer answers before it has read the body, and reads on.
-	FaultEarlyAnswer Fault = "early"
-	// FaultUnstamped answers without a Response-Stamp header.
-	FaultUnstamped Fault = "unstamped"
-	// FaultTruncate closes the connection before the end of the body.
-	FaultTruncate Fault = "cut"
-	// FaultTruncateHead closes the connection before the end of the head.
-	FaultTruncateHead Fault = "head-cut"
-	// FaultLongError answers with status 500 and a body far beyond any buffer.
-	FaultLongError Fault = "long-error"
-	// FaultRepeatRejection sends the rejection of an earlier health check before the
-	// answer.
-	FaultRepeatRejection Fault = "repeat-rejection"
-	// FaultLongTrailer ends the body with a trailer section far beyond any limit.
-	FaultLongTrailer Fault = "long-trailer"
-	// FaultExtra sends a second answer after the answer.
-	FaultExtra Fault = "extra"
-	// FaultUnframed answers without a Content-Length header.
-	FaultUnframed Fault = "unframed"
-	// FaultMalformed sends bytes that are not an HTTP response.
-	FaultMalformed Fault = "noise"
-)
-
-// longBytes is the length of the body of FaultLongError and of the trailer section of
-// FaultLongTrailer, which is longer than any reader may keep.
-const longBytes = 8 << 20
-
 // Run is one execution of a request at a Backend.
 type Run struct {
 	ID, Method, Target, Body, Caller string
@@ -360,68 +316,3 @@
 	defer b.mu.Unlock()
 	b.runs = append(b.runs, run)
 }
-
-// writeAnswer sends the answer. Faults of the framing bypass net/http, which would
-// not write them.
-func (b *Backend) writeAnswer(w http.ResponseWriter, r *http.Request, fault Fault, id string, body []byte) {
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n", id)
-	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
-	switch fault {
-	case FaultDisconnect:
-		panic(http.ErrAbortHandler)
-	case FaultCrash:
-		_ = b.server.Close()
-		panic(http.ErrAbortHandler)
-	case FaultHang:
-		<-r.Context().Done()
-	case FaultError:
-		w.Header().Set("Response-Stamp", "s")
-		w.WriteHeader(http.StatusInternalServerError)
-	case FaultUnstamped:
-		_, _ = w.Write(body)
-	case FaultTruncate:
-		b.writeRaw(w, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)+9)+string(body))
-	case FaultTruncateHead:
-		b.writeRaw(w, head+length[:len(length)-3])
-	case FaultLongError:
-		b.writeRaw(w, strings.Replace(head, "200 OK", "500 Internal Server Error", 1)+
-			fmt.Sprintf("Content-Length: %d\r\n\r\n", longBytes)+strings.Repeat("x", longBytes))
-	case FaultRepeatRejection:
-		b.writeRaw(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"+head+length+"\r\n"+string(body))
-	case FaultLongTrailer:
-		b.writeRaw(w, head+fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n", len(body), body)+
-			strings.Repeat("Rest: x\r\n", longBytes/9))
-	case FaultExtra:
-		b.writeRaw(w, head+length+"\r\n"+string(body)+head+length+"\r\n"+string(body))
-	case FaultUnframed:
-		b.writeRaw(w, head+"\r\n"+string(body))
-	case FaultMalformed:
-		b.writeRaw(w, "this is no answer\r\n\r\n")
-	default:
-		w.Header().Set("Response-Stamp", "s")
-		_, _ = w.Write(body)
-	}
-}
-
-// answerEarly sends an answer, and then reads the body of the request.
-func answerEarly(w http.ResponseWriter, r *http.Request, body []byte) {
-	controller := http.NewResponseController(w)
-	if err := controller.EnableFullDuplex(); err != nil {
-		return
-	}
-	w.Header().Set("Response-Stamp", "s")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = w.Write(body)
-	_ = controller.Flush()
-	_, _ = io.Copy(io.Discard, r.Body)
-}
-
-// writeRaw writes text to the connection as it is, and closes the connection.
-func (b *Backend) writeRaw(w http.ResponseWriter, text string) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	_, _ = io.WriteString(conn, text)
-	_ = conn.Close()
-}
