ingress, sidecar: reject late requests that a planned stop would cut off

Callers of a node that stops lost requests that came late in its grace period: behind another one on an open connection, or in two parts. They were passed on, ran, and were cut at the end of the period without an answer.

Cause: from 2.7 s on the node closes idle connections and accepts no new ones, but a connection with a request in progress takes another one at any time, and nothing compared the time that it may take with the time left.

From then on a request whose timeout passes after the end of the process is rejected with 503 and Retry-After; it has not run. Others are served. Nested calls of runs at the own upstream are excepted.

The two entries of the spec fail before (unexpected EOF after 5.4 s) and pass now.

--- a/call/call.go
+++ b/call/call.go
@@ -67,6 +67,7 @@
 	ReasonGarbled        Reason = "garbled"    // no stamp of the upstream, or a content encoding
 	ReasonFailed         Reason = "failed"     // the upstream answered with a server error
 	ReasonUnfinished     Reason = "unfinished" // in flight when the request ended
+	ReasonStopping       Reason = "stopping"   // the node would stop before the timeout
 )
 
 // Refusal is an answer that a node gives in place of the upstream.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,6 +98,8 @@
 	blocklist     *quarantine.Blocklist
 	transferUnit  int64
 	suspected     func(host string)
+	// stop is set once the process stops.
+	stop atomic.Pointer[stopTimes]
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -235,8 +238,6 @@
 	if s.route.Timeout > 0 {
 		s.timeout = min(s.timeout, s.route.Timeout)
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
-	defer cancel()
 	if run, ok := in.parentRun(s.headers.ParentID(), s.service, 1); ok {
 		s.depth, s.parentRetried = run.Depth+1, run.Repeated
 		if run.Repeated {
@@ -245,9 +246,30 @@
 	} else {
 		in.retryBudgets.recordRequest(s.received, s.service)
 	}
+	if in.cannotComplete(s) {
+		s.refuse(call.ReasonStopping)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
 	s.deliver(ctx, s.exchange(ctx))
 }
 
+// stopTimes are the times from which requests may be too late, and at which the process
+// ends.
+type stopTimes struct{ late, end time.Time }
+
+// Stop announces that the process ends at end. Requests that come after late are refused
+// unless their timeout passes before that.
+func (in *Ingress) Stop(late, end time.Time) { in.stop.Store(&stopTimes{late: late, end: end}) }
+
+// cannotComplete reports whether a request came so late in a stop that the end of the
+// process might cut it off. A nested call belongs to a run that came earlier.
+func (in *Ingress) cannotComplete(s *session) bool {
+	stop := in.stop.Load()
+	return stop != nil && s.depth == 0 && s.received.After(stop.late) && s.received.Add(s.timeout).After(stop.end)
+}
+
 // Fingerprint returns a hash of a request's method, host, target and content. It
 // identifies a request across resends by its caller, each of which has an
 // identity of its own.
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -12,7 +12,7 @@
 	readinessDelay = 2300 * time.Millisecond
 	// listenerCloseDelay is when the node stops accepting connections. Until
 	// then it accepts them, since callers may have no other node; later
-	// requests could not finish in time.
+	// requests may not finish in time.
 	listenerCloseDelay = 3 * time.Second
 	// gateStopDelay is how long the gate still accepts calls of other nodes.
 	gateStopDelay = 1500 * time.Millisecond
@@ -34,6 +34,8 @@
 	s.stopping.Store(true)
 	_ = level.Info(s.logger).Log("event", "stopping", "running", s.gate.Running(), "serving", s.callerServer.ActiveRequests())
 	limit := s.settings.Load().GracePeriod() - gracePeriodMargin
+	closeDelay := min(listenerCloseDelay, limit/2)
+	s.ingress.Stop(start.Add(closeDelay), start.Add(limit))
 	elapsed := func() time.Duration { return s.clock.Now().Sub(start) }
 	for elapsed() < min(gateStopDelay, limit) {
 		s.wait(drainPollInterval)
@@ -45,7 +47,7 @@
 	s.callerServer.Drain()
 	idleSince := s.clock.Now()
 	for elapsed() < limit {
-		if elapsed() > min(listenerCloseDelay, limit/2) {
+		if elapsed() > closeDelay {
 			s.callerServer.CloseListener()
 			s.callerServer.CloseIdleConnections()
 		}
