--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -115,4 +115,21 @@
 		Expect(b.Spend(late)).NotTo(BeNil())
 		Expect(b.Spend(early.Add(window+2*time.Second))).To(BeNil(), "both retries are later")
 	})
+
+	It("reports its decisions with the counts that they rest on, and each once", func() {
+		started := time.Now()
+		b := ingress.NewRetryBudgets(ingress.RetryBudget{Slack: 3, Window: 10 * time.Second}, started)
+		now := started.Add(time.Minute)
+		refunded := b.Spend(now)
+		Expect(refunded).NotTo(BeNil())
+		b.Refund(now, refunded)
+		for range 2 {
+			Expect(b.Spend(now)).NotTo(BeNil())
+		}
+		Expect(b.Spend(now)).To(BeNil())
+		Expect(b.TakeUsage(now)).To(Equal([]ingress.RetryUsage{
+			{Service: "stock", Nodes: 1, Retries: 2, Granted: 3, Denied: 1, Refunded: 1},
+		}))
+		Expect(b.TakeUsage(now)).To(BeEmpty())
+	})
 })
--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -35,3 +35,6 @@
 	defer in.mu.Unlock()
 	in.meanSizes[route] = bytes
 }
+
+// TakeUsage returns the usage since the latest call.
+func (r RetryBudgets) TakeUsage(now time.Time) []RetryUsage { return r.b.takeUsage(now) }
