--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -203,6 +203,15 @@
 	return f, a, b
 }
 
+// earnRetries sends requests through a host that has just started, which allow it two
+// retries.
+func (f *testFleet) earnRetries(h *host) {
+	GinkgoHelper()
+	for range 20 {
+		Expect(f.send(h, http.MethodGet, "/view/warm").status).To(Equal(http.StatusOK))
+	}
+}
+
 // waitUntilServedBy waits until a request through a host runs at an upstream.
 func (f *testFleet) waitUntilServedBy(h *host, instance string) {
 	GinkgoHelper()
@@ -269,6 +278,7 @@
 	DescribeTable("retries an idempotent request at another upstream",
 		func(fault standin.Fault) {
 			f, a, b := twoHosts()
+			f.earnRetries(a)
 			a.backend.InjectFaults(fault)
 			b.backend.InjectFaults(fault)
 			// One of the two faults may remain after the first request.
