--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/call"
-	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/http1"
@@ -25,11 +23,7 @@
 		func(answered, callsPerRun, chargedCalls int) {
 			budget := ingress.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
 			const hosts, requests = 6, 300
-			address := responder()
-			pool := http1.NewPool(address, func(ctx context.Context, address string) (net.Conn, error) {
-				return new(net.Dialer).DialContext(ctx, "tcp", address)
-			}, clock.System{}, time.Minute)
-			DeferCleanup(pool.Close)
+			pool := responderPool()
 			var mu sync.Mutex
 			arrivals := 0
 			_, entry := start(setup{idempotent: true, attempts: 2, hosts: hosts, budget: budget, calledService: "price"},
--- a/ingress/release_test.go
+++ b/ingress/release_test.go
@@ -68,15 +68,21 @@
 	return listener.Addr().String()
 }
 
+// responderPool returns a pool of connections to a responder.
+func responderPool() *http1.Pool {
+	GinkgoHelper()
+	pool := http1.NewPool(responder(), func(ctx context.Context, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}, clock.System{}, time.Minute)
+	DeferCleanup(pool.Close)
+	return pool
+}
+
 var _ = Describe("the responses to attempts", func() {
 	It("are all released, also server errors that another response replaces", func() {
 		// Guards against slots of a gate that stay in use after the calls have ended.
 		const callers, requests = 8, 40
-		address := responder()
-		pool := http1.NewPool(address, func(ctx context.Context, address string) (net.Conn, error) {
-			return new(net.Dialer).DialContext(ctx, "tcp", address)
-		}, clock.System{}, time.Minute)
-		DeferCleanup(pool.Close)
+		pool := responderPool()
 		var open atomic.Int64
 		var mu sync.Mutex
 		rng := rand.New(rand.NewPCG(4, 0))
