organisation, route, platform, ingress: identify callers by the keys of organisations

Cause: the configuration's organisations, keys, regions, cold rates and public routes were dropped when it was decoded. The caller's key went on to the upstream, and nothing named the organisation.

The entry node answers 401 for an unknown key, removes the key and names the organisation to the gate, which names it to the upstream. A nested call belongs to the organisation of its run. Routes and organisations with regions only use upstreams there. Settings hold regions and the bounds of quotas and warmups; without organisations in the configuration nothing changes.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -191,7 +191,7 @@
 func (g *Gate) outgoing(t target, meta hop.Meta, c *Call, remaining time.Duration) *http1.OutgoingRequest {
 	header := c.Header.Clone()
 	hop.Strip(header)
-	platform.SetForwardingHeaders(header, platform.ForwardingHeaders{Instance: t.instance, Remaining: remaining, Caller: meta.CallerService})
+	platform.SetForwardingHeaders(header, platform.ForwardingHeaders{Instance: t.instance, Remaining: remaining, Caller: meta.CallerService, Organisation: meta.Organisation})
 	return &http1.OutgoingRequest{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content, Rest: c.Rest,
 		Accept: acceptID(meta.ID),
--- a/egress/run.go
+++ b/egress/run.go
@@ -16,6 +16,9 @@
 	// Repeated means that the request was sent to an upstream before.
 	Repeated bool
 
+	// Organisation is the organisation of the caller, "" for none.
+	Organisation string
+
 	route   string
 	started time.Time
 	// utilization is the share of the slots in use when the run started.
@@ -36,7 +39,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	run = &Run{
-		Depth: meta.Depth, Repeated: meta.Repeated, route: meta.Route, started: now,
+		Depth: meta.Depth, Repeated: meta.Repeated, Organisation: meta.Organisation, route: meta.Route, started: now,
 		utilization: g.slotUtilization(now), baselineSpeed: g.health.slowdownAt(now) <= maxBaselineSlowdown,
 		calls: map[string]int{},
 	}
@@ -148,8 +151,8 @@
 	return float64(g.admission.Load(now).Running) / float64(max(g.upstream.slots, 1))
 }
 
-// RecordNestedCalls counts calls to a service that the run of request id makes, and
-// returns that run if it is running here.
+// RecordNestedCalls counts calls to a service that the run of request id makes, which may
+// be none, and returns that run if it is running here.
 func (g *Gate) RecordNestedCalls(id, service string, calls int) (Run, bool) {
 	if id == "" {
 		return Run{}, false
@@ -160,7 +163,9 @@
 	if run == nil {
 		return Run{}, false
 	}
-	run.calls[service] += calls
+	if calls > 0 {
+		run.calls[service] += calls
+	}
 	return *run, true
 }
 
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -62,6 +62,8 @@
 	Route string `cbor:"19,keyasint,omitempty"`
 	// EntryHost is the host of the entry node.
 	EntryHost string `cbor:"17,keyasint,omitempty"`
+	// Organisation is the organisation of the caller, "" for none.
+	Organisation string `cbor:"20,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -73,8 +73,9 @@
 	meta := hop.Meta{
 		ID: s.headers.ID(), Service: s.service, Upstream: b.Upstream, Remaining: remaining,
 		Idempotent: s.route.Idempotent, Received: s.received, Revision: s.table.Revision(),
-		CallerService: s.in.callerService(), Priority: s.route.Priority, Declinable: a.declinable,
+		CallerService: s.in.callerService(), Priority: s.priority(), Declinable: a.declinable,
 		Depth: s.depth, Repeated: a.repeated, MinSlowdown: a.minSlowdown, EntryHost: s.in.host, Route: s.route.Name, Fingerprint: s.fingerprint,
+		Organisation: s.organisationName(),
 	}
 	if !a.declinable {
 		meta.MaxWait = s.maxWait(now, remaining)
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -45,17 +45,19 @@
 // refuse answers that the request has not run, with a Retry-After header.
 func (s *session) refuse(reason call.Reason) {
 	header := http.Header{}
-	platform.EchoID(header, s.headers.ID())
 	platform.SetRetryAfter(header, s.in.jittered(minRetryAfter, retryAfterSpread))
-	s.recordEnd(http.StatusServiceUnavailable, call.NotRun, reason)
-	_ = s.reply.Send(http.StatusServiceUnavailable, header, nil)
+	s.answer(http.StatusServiceUnavailable, call.NotRun, reason, header)
 }
 
 // fail answers with a status that leaves open whether the request has run.
 func (s *session) fail(status int, reason call.Reason) {
-	header := http.Header{}
+	s.answer(status, call.Unknown, reason, http.Header{})
+}
+
+// answer sends a response of this node's own.
+func (s *session) answer(status int, outcome call.Outcome, reason call.Reason, header http.Header) {
 	platform.EchoID(header, s.headers.ID())
-	s.recordEnd(status, call.Unknown, reason)
+	s.recordEnd(status, outcome, reason)
 	_ = s.reply.Send(status, header, nil)
 }
 
@@ -74,7 +76,7 @@
 	o := Observation{
 		ID: s.headers.ID(), Service: s.service, Status: status, Outcome: outcome, Reason: reason,
 		Attempts: s.arrivals, Picks: s.picks, Elapsed: elapsed, Trail: s.trail,
-		RetryDenied: s.retryDenied, ParentRetried: s.parentRetried,
+		RetryDenied: s.retryDenied, ParentRetried: s.parentRetried, Organisation: s.organisationName(),
 	}
 	if s.table != nil {
 		o.Revision = s.table.Revision()
--- /dev/null
+++ b/ingress/identity.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/platform"
+)
+
+// The decisions in this file answer callers whose keys come and go while their
+// connections stay open: each request is identified by the configuration in force.
+
+// identify finds the organisation of the caller and removes the caller's key from the
+// request, so that it does not leave this node. A nested call belongs to the organisation
+// of the run that makes it. It answers the request and returns false if the route is not
+// public and the key is unknown.
+func (s *session) identify(parent egress.Run, nested bool) bool {
+	organisations := s.table.Organisations()
+	if organisations.Len() == 0 {
+		return true
+	}
+	platform.RemoveKey(s.request.Header)
+	found := false
+	switch {
+	case s.headers.Key() != "":
+		s.organisation, found = organisations.Lookup(s.headers.Key())
+	case s.headers.Keyless() && nested:
+		// The organisation may have left the configuration while the run goes on.
+		s.organisation, _ = organisations.Named(parent.Organisation)
+		found = true
+	}
+	switch {
+	case found || s.route.Public:
+		return true
+	case s.headers.Keyless() && s.headers.ParentID() != "":
+		// The run may be one of an earlier process of this node, or may have just ended.
+		s.refuse(call.ReasonNoParent)
+	default:
+		s.denyKey()
+	}
+	return false
+}
+
+// denyKey answers that the request has not run because its key is unknown.
+func (s *session) denyKey() {
+	header := http.Header{}
+	header.Set("WWW-Authenticate", "Bearer")
+	s.answer(http.StatusUnauthorized, call.NotRun, call.ReasonUnknownKey, header)
+}
+
+// organisationName returns the name of the caller's organisation, "" for none.
+func (s *session) organisationName() string {
+	if s.organisation == nil {
+		return ""
+	}
+	return s.organisation.Name()
+}
+
+// priority returns the priority of the request: that of its organisation goes before
+// that of its route.
+func (s *session) priority() int {
+	if s.organisation == nil {
+		return s.route.Priority
+	}
+	return s.organisation.Priority(s.route.Priority)
+}
+
+// permitted returns the upstreams in the regions that both the route and the organisation
+// allow.
+func (s *session) permitted(peers []fleet.Peer) []fleet.Peer {
+	lists := [][]string{s.route.Regions}
+	if s.organisation != nil {
+		lists = append(lists, s.organisation.Regions())
+	}
+	for _, regions := range lists {
+		if len(regions) > 0 {
+			peers = s.inRegions(peers, regions)
+		}
+	}
+	return peers
+}
+
+// noUpstreamReason returns why there is no upstream to send the request to.
+func (s *session) noUpstreamReason() call.Reason {
+	serving := s.in.view.Serving(s.service)
+	if len(serving) > 0 && len(s.permitted(serving)) == 0 {
+		return call.ReasonNoRegion
+	}
+	return call.ReasonNoUpstream
+}
+
+// inRegions returns the upstreams in one of the regions.
+func (s *session) inRegions(peers []fleet.Peer, regions []string) []fleet.Peer {
+	inside := make([]fleet.Peer, 0, len(peers))
+	for _, peer := range peers {
+		if slices.Contains(regions, s.in.regionOf(peer.Beacon().FailureDomain)) {
+			inside = append(inside, peer)
+		}
+	}
+	return inside
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -39,6 +39,8 @@
 	ID      string
 	Route   string
 	Service string
+	// Organisation is the organisation of the caller, "" for none.
+	Organisation string
 	// Revision is the configuration that the request was routed by.
 	Revision uint64
 	// Status is the HTTP status of the response, 0 if the caller cancelled.
@@ -98,6 +100,7 @@
 	blocklist     *quarantine.Blocklist
 	transferUnit  int64
 	suspected     func(host string)
+	regionOf      func(failureDomain string) string
 	// stop is set once the process stops.
 	stop atomic.Pointer[stopTimes]
 
@@ -151,6 +154,12 @@
 	return func(in *Ingress) { in.suspected = suspected }
 }
 
+// WithRegions sets the function that returns the region of a failure domain, "" if it is
+// unknown.
+func WithRegions(regionOf func(failureDomain string) string) Option {
+	return func(in *Ingress) { in.regionOf = regionOf }
+}
+
 // suspect marks a node as silent after a call started at started did not reach it.
 func (in *Ingress) suspect(now, started time.Time, host string) {
 	if in.view.Suspect(now, started, host) {
@@ -175,6 +184,7 @@
 		clock: clock.System{}, table: table, callerService: callerService, failureDomain: failureDomain,
 		view: view, sender: sender, observe: func(Observation) {}, meanTimes: map[string]time.Duration{}, meanSizes: map[string]int64{},
 		blocklist: quarantine.NewBlocklist(), transferUnit: routing.DefaultTransferUnit, suspected: func(string) {},
+		regionOf:    func(string) string { return "" },
 		parentRun:   func(string, string, int) (egress.Run, bool) { return egress.Run{}, false },
 		nestedCalls: newNestedCalls(),
 		rng:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -225,6 +235,12 @@
 		s.fail(http.StatusNotFound, call.ReasonNoRoute)
 		return
 	}
+	// The parent is looked up before the service is known: a request with an unknown key
+	// must not count for the weights of a split route.
+	parent, nested := in.parentRun(s.headers.ParentID(), "", 0)
+	if !s.identify(parent, nested) {
+		return
+	}
 	s.fingerprint = Fingerprint(r)
 	if in.blocklist.Blocked(s.received, s.fingerprint) {
 		s.refuse(call.ReasonQuarantined)
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -9,6 +9,7 @@
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/organisation"
 	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/route"
 )
@@ -44,6 +45,8 @@
 	table   *route.Table
 	route   *route.Route
 	service string
+	// organisation is that of the caller, nil for none.
+	organisation *organisation.Organisation
 	// fingerprint identifies the request across resends by its caller.
 	fingerprint uint64
 	received    time.Time
@@ -110,7 +113,7 @@
 	hedge := s.hedgeTimer()
 	defer s.cancelAll()
 	if !s.launch(ctx, false) {
-		s.reason = call.ReasonNoUpstream
+		s.reason = s.noUpstreamReason()
 		return nil
 	}
 	for len(s.inFlight) > 0 {
@@ -229,7 +232,7 @@
 	if s.picks >= maxPicks || s.queuedPicks >= maxQueuedPicks || s.attempts >= max(s.route.MaxAttempts, 1) {
 		return false
 	}
-	serving := s.in.view.Serving(s.service)
+	serving := s.permitted(s.in.view.Serving(s.service))
 	peers := s.candidates(serving, hedge)
 	if len(peers) == 0 || (hedge && s.callsOthers()) {
 		return false
--- a/route/table.go
+++ b/route/table.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/banyancross/banyancross/organisation"
 )
 
 // WeightedService is a service and its weight among the targets of a route.
@@ -33,7 +35,11 @@
 	MaxAttempts int
 	// Priority orders requests; lower is more urgent.
 	Priority int
-	Targets  []WeightedService
+	// Public is set if requests need no key of an organisation.
+	Public bool
+	// Regions are the only regions that requests may enter, none for all.
+	Regions []string
+	Targets []WeightedService
 
 	balancer *balancer
 }
@@ -42,6 +48,11 @@
 type Service struct {
 	HealthPath     string
 	MaxConnections int
+	// WarmupRate is how many requests per second a cold upstream tolerates, 0 for no
+	// bound.
+	WarmupRate float64
+	// WarmupDuration is how long an upstream is cold after its start.
+	WarmupDuration time.Duration
 }
 
 // Limits are the bounds on callers' requests.
@@ -58,6 +69,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Organisations has the organisations whose callers need a key.
+	Organisations *organisation.Directory
 }
 
 // Table is one revision of the configuration; it is immutable.
@@ -69,6 +82,11 @@
 // NewTable validates a definition and returns its Table.
 func NewTable(d Definition) (*Table, error) {
 	t := &Table{definition: d, hosts: map[string][]*Route{}}
+	for name, service := range d.Services {
+		if !(service.WarmupRate >= 0 && service.WarmupRate <= math.MaxFloat32) || service.WarmupDuration < 0 {
+			return nil, invalid("service %q: the warmup rate or duration is out of range", name)
+		}
+	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		if err := t.validate(r); err != nil {
@@ -91,6 +109,9 @@
 	if len(r.Targets) == 0 {
 		return invalid("route %q has neither a service nor a split", r.Name)
 	}
+	if slices.Contains(r.Regions, "") {
+		return invalid("route %q has a region without a name", r.Name)
+	}
 	if r.Timeout < 0 || r.Objective < 0 || r.MaxAttempts < 0 {
 		return invalid("route %q has a negative timeout, latency objective or number of attempts", r.Name)
 	}
@@ -116,6 +137,10 @@
 // Limits returns the bounds on callers' requests.
 func (t *Table) Limits() Limits { return t.definition.Limits }
 
+// Organisations returns the organisations whose callers need a key, none if callers need
+// no keys.
+func (t *Table) Organisations() *organisation.Directory { return t.definition.Organisations }
+
 // Service returns the configuration of a service.
 func (t *Table) Service(name string) (Service, bool) {
 	service, ok := t.definition.Services[name]
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -1,7 +1,9 @@
 package settings
 
 import (
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/banyancross/banyancross/routing"
@@ -31,6 +33,13 @@
 	memoryLimitMB         int
 	transferUnit          int64
 	firstStart            bool
+	region                string
+	regions               map[string]string
+	quotaWindow           time.Duration
+	quotaOverage          float64
+	quotaSlack            float64
+	warmupOverage         float64
+	warmupSlack           float64
 }
 
 // Host returns the name of the host.
@@ -97,6 +106,43 @@
 // costs as much as the whole capacity of an upstream.
 func (s *Sidecar) TransferUnit() int64 { return s.transferUnit }
 
+// Region returns the host's region, "" if the settings have none.
+func (s *Sidecar) Region() string { return s.region }
+
+// RegionOf returns the region of a failure domain, "" if the settings do not say.
+func (s *Sidecar) RegionOf(failureDomain string) string {
+	if failureDomain == s.failureDomain && s.region != "" {
+		return s.region
+	}
+	return s.regions[failureDomain]
+}
+
+// HasRegion reports whether a region is the host's or that of a known failure domain.
+func (s *Sidecar) HasRegion(region string) bool {
+	return region == s.region || slices.Contains(slices.Collect(maps.Values(s.regions)), region)
+}
+
+// FailureDomains returns the known failure domains, sorted.
+func (s *Sidecar) FailureDomains() []string { return slices.Sorted(maps.Keys(s.regions)) }
+
+// QuotaWindow returns the time span over which the requests of an organisation are
+// counted.
+func (s *Sidecar) QuotaWindow() time.Duration { return s.quotaWindow }
+
+// QuotaOverage returns the share of a quota that may be exceeded in a window.
+func (s *Sidecar) QuotaOverage() float64 { return s.quotaOverage }
+
+// QuotaSlack returns how many requests beyond the quota a window may hold in addition.
+func (s *Sidecar) QuotaSlack() float64 { return s.quotaSlack }
+
+// WarmupOverage returns the factor by which the rate of requests to a cold upstream may
+// exceed what it tolerates.
+func (s *Sidecar) WarmupOverage() float64 { return s.warmupOverage }
+
+// WarmupSlack returns how many requests a cold upstream may get in a second in
+// addition.
+func (s *Sidecar) WarmupSlack() float64 { return s.warmupSlack }
+
 // sidecarDocument is the TOML form of Sidecar.
 type sidecarDocument struct {
 	Host          string        `toml:"host"`
@@ -111,6 +157,9 @@
 	// Advertise holds addresses that other nodes use in place of those in Listen.
 	Advertise sidecarAdvertise `toml:"advertise"`
 	Placement sidecarPlacement `toml:"placement"`
+	Region    string           `toml:"region"`
+	// Regions holds the region of each failure domain.
+	Regions map[string]string `toml:"regions"`
 }
 
 type sidecarPlacement struct {
@@ -136,8 +185,22 @@
 	RetryWindow string  `toml:"retry-window"`
 	Grace       string  `toml:"grace"`
 	MemoryMB    int     `toml:"memory-mb"`
+	// The quotas of organisations and the warmup of upstreams come with the
+	// configuration; these bounds say how strictly they are kept.
+	QuotaWindow   string  `toml:"quota-window"`
+	QuotaOverage  float64 `toml:"quota-overage"`
+	QuotaSlack    float64 `toml:"quota-slack"`
+	WarmupOverage float64 `toml:"warmup-overage"`
+	WarmupSlack   float64 `toml:"warmup-slack"`
 }
 
+const (
+	// defaultQuotaWindow is the default of the span over which a quota is counted.
+	defaultQuotaWindow = "5s"
+	// defaultWarmupOverage allows cold upstreams what they tolerate.
+	defaultWarmupOverage = 1
+)
+
 // ReadSidecar reads and checks the settings file at path.
 func ReadSidecar(path string) (*Sidecar, error) {
 	data, err := os.ReadFile(path)
@@ -150,7 +213,10 @@
 // ParseSidecar decodes and checks the settings in data; name is the file name in
 // errors.
 func ParseSidecar(name string, data []byte) (*Sidecar, error) {
-	doc := sidecarDocument{LogLevel: "info", Placement: sidecarPlacement{TransferUnitBytes: routing.DefaultTransferUnit}}
+	doc := sidecarDocument{
+		LogLevel: "info", Placement: sidecarPlacement{TransferUnitBytes: routing.DefaultTransferUnit},
+		Bounds: sidecarBounds{QuotaWindow: defaultQuotaWindow, WarmupOverage: defaultWarmupOverage},
+	}
 	if err := toml.Decode(name, data, &doc); err != nil {
 		return nil, err
 	}
@@ -174,8 +240,22 @@
 		retryWindow:      c.duration(doc.Bounds.RetryWindow, "bounds", "retry-window"),
 		gracePeriod:      c.duration(doc.Bounds.Grace, "bounds", "grace"),
 		memoryLimitMB:    int(c.positive(float64(doc.Bounds.MemoryMB), "bounds", "memory-mb")),
+		quotaWindow:      c.duration(doc.Bounds.QuotaWindow, "bounds", "quota-window"),
+		quotaOverage:     c.notNegative(doc.Bounds.QuotaOverage, "bounds", "quota-overage"),
+		quotaSlack:       c.notNegative(doc.Bounds.QuotaSlack, "bounds", "quota-slack"),
+		warmupOverage:    c.positive(doc.Bounds.WarmupOverage, "bounds", "warmup-overage"),
+		warmupSlack:      c.notNegative(doc.Bounds.WarmupSlack, "bounds", "warmup-slack"),
+		region:           doc.Region,
+		regions:          doc.Regions,
 		transferUnit:     int64(c.positive(float64(doc.Placement.TransferUnitBytes), "placement", "transfer-unit-bytes")),
 	}
+	if doc.Region != "" {
+		c.name(doc.Region, "region")
+	}
+	for domain, region := range doc.Regions {
+		c.name(domain, "regions", domain)
+		c.name(region, "regions", domain)
+	}
 	s.advertisedNodeAddress = s.nodeAddress
 	if doc.Advertise.Nodes != "" {
 		s.advertisedNodeAddress = c.address(doc.Advertise.Nodes, "advertise", "nodes")
@@ -193,6 +273,13 @@
 	return value
 }
 
+func (c *checker) notNegative(value float64, path ...string) float64 {
+	if !(value >= 0) {
+		c.fail(path, "key %q: %v is below zero", dottedKey(path), value)
+	}
+	return value
+}
+
 func (c *checker) duration(value string, path ...string) time.Duration {
 	d, err := time.ParseDuration(value)
 	if err != nil || d <= 0 {
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -60,7 +60,7 @@
 	if !write {
 		return
 	}
-	_ = level.Info(s.logger).Log("event", "request", "class", class, "request", o.ID, "route", o.Route,
+	_ = level.Info(s.logger).Log("event", "request", "class", class, "request", o.ID, "route", o.Route, "organisation", o.Organisation,
 		"service", o.Service, "revision", o.Revision, "status", o.Status, "outcome", o.Outcome, "reason", o.Reason,
 		"elapsed-ms", o.Elapsed.Milliseconds(), "arrivals", o.Attempts, "picks", o.Picks,
 		"retry-denied", o.RetryDenied, "parent-retried", o.ParentRetried,
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -163,6 +163,7 @@
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.sender,
 		ingress.WithClock(s.clock), ingress.WithParentLookup(s.gate.RecordNestedCalls), ingress.WithHost(conf.Host()), ingress.WithBlocklist(s.blocklist),
 		ingress.WithObserver(newRequestLog(s).observe), ingress.WithTransferUnit(conf.TransferUnit()), ingress.WithSuspicion(s.logSuspect), ingress.WithStart(s.started),
+		ingress.WithRegions(func(failureDomain string) string { return s.settings.Load().RegionOf(failureDomain) }),
 		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
 	if err := s.listen(conf); err != nil {
 		s.Kill()
