admission: share a gate between organisations by start-time fair queueing

Calls of one depth and priority waited by deadline alone, and a full queue shed the latest deadline, so whoever sent most was served most.

Within a depth and priority the gate now grants by start tags of organisations, weighted by the expected service time, and sheds from the organisation that holds most of the queue (reason share). Nested calls, and calls without organisations, keep their order. A call that holds its slot for longer than expected counts for it, up to eight times. The queue is searched instead of a heap, as tags change with each grant; it is no longer than the slots.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"sync"
 	"time"
 
@@ -38,6 +37,9 @@
 	Expected time.Duration
 	// Priority orders calls of the same depth; lower is more urgent.
 	Priority int
+	// Organisation is the organisation of the caller, "" for none. Calls of the same
+	// depth and priority share the gate by organisation.
+	Organisation string
 }
 
 // Gate admits calls to one upstream; it is safe for concurrent use.
@@ -123,6 +125,7 @@
 	g.observeNesting(request)
 	g.sequence++
 	pass := &Pass{gate: g, request: request, sequence: g.sequence, ready: make(chan struct{})}
+	g.queue.join(pass, g.expectedServiceTime(request))
 	if g.queue.Len() == 0 && g.canStart(now, request) {
 		g.grant(now, pass)
 		return pass, nil
@@ -134,8 +137,8 @@
 	return pass, nil
 }
 
-// enqueue queues the pass unless it would miss its deadline; a full queue sheds
-// its last call, which is one of the least depth.
+// enqueue queues the pass unless it would miss its deadline; a full queue sheds a call
+// of the least depth, and there of the organisation that holds most.
 func (g *Gate) enqueue(now time.Time, pass *Pass) *call.Refusal {
 	ahead := g.queue.ahead(pass)
 	limit := g.limit(now)
@@ -144,16 +147,17 @@
 	if now.Add(wait + g.expectedServiceTime(pass.request)).After(pass.request.Deadline) {
 		return call.Refuse(call.NotRun, call.ReasonDeadline)
 	}
-	heap.Push(&g.queue, pass)
+	g.queue.push(pass)
 	if g.queue.Len() <= g.queueCapacity() {
 		return nil
 	}
 	last := g.queue.last()
+	reason := g.queue.shedReason(last)
 	if last == pass {
-		heap.Remove(&g.queue, pass.index)
-		return call.Refuse(call.NotRun, call.ReasonOverload)
+		g.queue.remove(pass)
+		return call.Refuse(call.NotRun, reason)
 	}
-	g.shed(last, call.ReasonOverload)
+	g.shed(last, reason)
 	return nil
 }
 
@@ -171,7 +175,7 @@
 
 // shed rejects a queued pass.
 func (g *Gate) shed(pass *Pass, reason call.Reason) {
-	heap.Remove(&g.queue, pass.index)
+	g.queue.remove(pass)
 	pass.refusal = call.Refuse(call.NotRun, reason)
 	close(pass.ready)
 }
@@ -211,6 +215,7 @@
 	g.exclusiveRunning = pass.request.Exclusive
 	pass.granted = true
 	pass.started = now
+	pass.shares.granted(pass.share, pass.cost)
 	close(pass.ready)
 }
 
@@ -218,7 +223,7 @@
 // time left is less than half of their expected service time.
 func (g *Gate) dispatch(now time.Time) {
 	for g.queue.Len() > 0 {
-		next := g.queue.passes[0]
+		next := g.queue.next()
 		if next.request.Deadline.Before(now.Add(g.expectedServiceTime(next.request) / 2)) {
 			g.shed(next, call.ReasonDeadline)
 			continue
@@ -226,7 +231,7 @@
 		if !g.canStart(now, next.request) {
 			break
 		}
-		heap.Pop(&g.queue)
+		g.queue.remove(next)
 		g.grant(now, next)
 	}
 	if g.draining && g.running == 0 && !g.idleClosed {
@@ -253,8 +258,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
-	for g.queue.Len() > 0 {
-		g.shed(g.queue.passes[0], call.ReasonLeaving)
+	for last := g.queue.Len() - 1; last >= 0; last-- {
+		g.shed(g.queue.passes[last], call.ReasonLeaving)
 	}
 	g.dispatch(now)
 	return g.idle
--- a/admission/pass.go
+++ b/admission/pass.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/banyancross/banyancross/call"
@@ -18,6 +17,12 @@
 	ended    bool
 	started  time.Time
 	refusal  *call.Refusal
+
+	class  class
+	shares *shares
+	share  *share
+	// cost is the expected service time.
+	cost time.Duration
 }
 
 // Ready is closed when the pass is granted or rejected.
@@ -55,6 +60,9 @@
 		return
 	}
 	p.ended = true
+	// A call that holds its slot for longer than expected, as with a caller that reads
+	// slowly, counts for as long as it did.
+	p.share.start += min(max(now.Sub(p.started)-p.cost, 0), maxExcess*p.cost)
 	if answered {
 		g.limiter.observe(now, now.Sub(p.started), g.running)
 	}
@@ -64,75 +72,3 @@
 	}
 	g.dispatch(now)
 }
-
-// passQueue is a heap ordered by depth, deepest first, then by priority,
-// deadline and arrival.
-type passQueue struct {
-	passes []*Pass
-}
-
-var _ heap.Interface = (*passQueue)(nil)
-
-// Len implements heap.Interface.
-func (q *passQueue) Len() int { return len(q.passes) }
-
-// Less implements heap.Interface.
-func (q *passQueue) Less(i, j int) bool { return before(q.passes[i], q.passes[j]) }
-
-// Swap implements heap.Interface.
-func (q *passQueue) Swap(i, j int) {
-	q.passes[i], q.passes[j] = q.passes[j], q.passes[i]
-	q.passes[i].index = i
-	q.passes[j].index = j
-}
-
-// Push implements heap.Interface.
-func (q *passQueue) Push(x any) {
-	pass := x.(*Pass)
-	pass.index = len(q.passes)
-	q.passes = append(q.passes, pass)
-}
-
-// Pop implements heap.Interface.
-func (q *passQueue) Pop() any {
-	last := len(q.passes) - 1
-	pass := q.passes[last]
-	q.passes[last] = nil
-	q.passes = q.passes[:last]
-	return pass
-}
-
-// ahead counts the passes that would be granted before pass.
-func (q *passQueue) ahead(pass *Pass) int {
-	count := 0
-	for _, other := range q.passes {
-		if before(other, pass) {
-			count++
-		}
-	}
-	return count
-}
-
-// last returns the pass that would be granted last.
-func (q *passQueue) last() *Pass {
-	last := q.passes[0]
-	for _, pass := range q.passes[1:] {
-		if before(last, pass) {
-			last = pass
-		}
-	}
-	return last
-}
-
-func before(a, b *Pass) bool {
-	if a.request.Depth != b.request.Depth {
-		return a.request.Depth > b.request.Depth
-	}
-	if a.request.Priority != b.request.Priority {
-		return a.request.Priority < b.request.Priority
-	}
-	if !a.request.Deadline.Equal(b.request.Deadline) {
-		return a.request.Deadline.Before(b.request.Deadline)
-	}
-	return a.sequence < b.sequence
-}
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -40,6 +40,7 @@
 	}
 	request := admission.Request{
 		Deadline: now.Add(meta.Remaining), Depth: meta.Depth, Priority: meta.Priority, Expected: g.expectedRunTime(meta.Route),
+		Organisation: meta.Organisation,
 	}
 	pass, refusal := t.admission.Admit(now, request)
 	if refusal != nil {
--- a/routing/least_latency.go
+++ b/routing/least_latency.go
@@ -221,12 +221,12 @@
 }
 
 // isFailure reports whether an attempt without an answer failed, and was not
-// rejected by the gate for overload or deadline.
+// rejected by the gate for overload, share or deadline.
 func isFailure(result Result) bool {
 	if result.Outcome == call.Answered {
 		return false
 	}
-	return result.Reason != call.ReasonOverload && result.Reason != call.ReasonDeadline
+	return result.Reason != call.ReasonOverload && result.Reason != call.ReasonShare && result.Reason != call.ReasonDeadline
 }
 
 // addLatency adds a latency sample, in seconds, to the mean.
