admission, ingress: what is late yields, and nested calls queue by drain rate

Waiting calls went by deadline alone. Callers that come back after a rejection have the earliest deadlines and are late already, so in an overload they were served first and made the fresh ones late in turn. The gate now takes the latency objective (hop.Meta key 23, sent only with calls that may be queued): inside one depth and priority, what can be in time goes before what cannot, which is still served when there is room and is shed first. The entry node estimates the time since the first attempt by what the caller's timeout lacks of the usual one of the route.

A full queue held one call a slot, whatever the calls took. Nested calls are short and come in pulses, so some were rejected that would have been served within 30 ms, and each wasted its run. They now queue beyond the capacity while the measured drain rate serves them within half of their longest wait.

Each test fails with its part turned off.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -180,6 +180,11 @@
 					Deadline:  at.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond),
 					Depth:     rapid.IntRange(0, 3).Draw(t, "depth"),
 					Exclusive: rapid.IntRange(0, 9).Draw(t, "alone") == 0,
+					Immediate: rapid.IntRange(0, 3).Draw(t, "immediate") == 0,
+					MaxWait:   time.Duration(rapid.IntRange(0, 200).Draw(t, "wait")) * time.Millisecond,
+					Objective: at.Add(time.Duration(rapid.IntRange(-100, 200).Draw(t, "objective")) * time.Millisecond),
+
+					Organisation: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "organisation"),
 				})
 				if refusal == nil {
 					open = append(open, pass)
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -3,8 +3,9 @@
 // running calls is exact.
 //
 // A Gate admits calls up to a concurrency limit, queues a few more by the depth
-// of the call chain, priority and deadline, and rejects calls that would miss
-// their deadline. The limit starts at the upstream's slots, decreases while the
+// of the call chain, priority, whether they can meet their latency objective, share
+// of the organisation and deadline, and rejects calls that would miss their deadline
+// or wait for too long. The limit starts at the upstream's slots, decreases while the
 // service time exceeds its baseline, and rises during a cold start.
 //
 // The package has no timers: the owner passes the time to every method and
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -8,8 +8,16 @@
 )
 
 const (
-	// queueCapacityPerSlot is the queue's capacity in calls per slot.
+	// queueCapacityPerSlot is the queue's capacity in calls per slot. Nested calls go
+	// beyond it as long as the measured drain rate serves them in time: they are short,
+	// come in pulses, and each that is lost wastes the run that made it.
 	queueCapacityPerSlot = 1.0
+	// waitMargin is the ratio of the expected wait to the longest that is allowed from
+	// which a call is rejected at once: the wait varies by half, as runs do.
+	waitMargin = 1.5
+	// nestedQueueShare is the share of its longest wait up to which a nested call is
+	// queued beyond the capacity.
+	nestedQueueShare = 0.5
 	// coldStartShare is the share of the slots in use when a cold start begins.
 	coldStartShare = 0.25
 	// nestedThreshold is the share of nested calls from which a part of the
@@ -40,6 +48,13 @@
 	// Organisation is the organisation of the caller, "" for none. Calls of the same
 	// depth and priority share the gate by organisation.
 	Organisation string
+	// Immediate requires that the call starts at once or is rejected.
+	Immediate bool
+	// MaxWait is how long the call may be queued, 0 for no bound but the deadline.
+	MaxWait time.Duration
+	// Objective is the time by which an answer is in time, zero if late answers are as
+	// good.
+	Objective time.Time
 }
 
 // Gate admits calls to one upstream; it is safe for concurrent use.
@@ -130,6 +145,9 @@
 		g.grant(now, pass)
 		return pass, nil
 	}
+	if request.Immediate {
+		return nil, call.Refuse(call.NotRun, call.ReasonOverload)
+	}
 	refusal := g.enqueue(now, pass)
 	if refusal != nil {
 		return nil, refusal
@@ -137,21 +155,27 @@
 	return pass, nil
 }
 
-// enqueue queues the pass unless it would miss its deadline; a full queue sheds a call
-// of the least depth, and there of the organisation that holds most.
+// enqueue queues the pass unless it would miss its deadline or wait for too long; a full
+// queue sheds a call of the least depth, and there of the organisation that holds most.
 func (g *Gate) enqueue(now time.Time, pass *Pass) *call.Refusal {
-	ahead := g.queue.ahead(pass)
-	limit := g.limit(now)
-	serviceTime := g.limiter.serviceTime
-	wait := serviceTime * time.Duration(ahead+1) / time.Duration(limit)
-	if now.Add(wait + g.expectedServiceTime(pass.request)).After(pass.request.Deadline) {
+	limit := time.Duration(g.limit(now))
+	ahead := g.queue.ahead(now, pass)
+	if wait := (g.limiter.serviceTime + ahead) / limit; now.Add(wait + g.expectedServiceTime(pass.request)).After(pass.request.Deadline) {
 		return call.Refuse(call.NotRun, call.ReasonDeadline)
 	}
+	maxWait := pass.request.MaxWait
+	if maxWait > 0 && float64(ahead/limit) > waitMargin*float64(maxWait) {
+		return call.Refuse(call.NotRun, call.ReasonOverload)
+	}
 	g.queue.push(pass)
 	if g.queue.Len() <= g.queueCapacity() {
 		return nil
 	}
-	last := g.queue.last()
+	last := g.queue.last(now)
+	if last.request.Depth > 0 && g.limiter.serviceTime > 0 && float64(ahead/limit) <= nestedQueueShare*float64(maxWait) {
+		// Only nested calls are queued, which are bounded by their waits.
+		return nil
+	}
 	reason := g.queue.shedReason(last)
 	if last == pass {
 		g.queue.remove(pass)
@@ -223,7 +247,7 @@
 // time left is less than half of their expected service time.
 func (g *Gate) dispatch(now time.Time) {
 	for g.queue.Len() > 0 {
-		next := g.queue.next()
+		next := g.queue.next(now)
 		if next.request.Deadline.Before(now.Add(g.expectedServiceTime(next.request) / 2)) {
 			g.shed(next, call.ReasonDeadline)
 			continue
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -7,8 +7,8 @@
 )
 
 // passQueue holds the queued passes. They are granted by depth of the call chain,
-// deepest first, then by priority, share of the organisation, deadline and arrival.
-// It is as short as the upstream has slots, so that it is searched from end to end.
+// deepest first, then by priority, whether they can be in time, share of the
+// organisation, deadline and arrival. It is short, so that it is searched from end to end.
 type passQueue struct {
 	passes  []*Pass
 	classes map[class]*shares
@@ -57,22 +57,22 @@
 }
 
 // next returns the pass that is granted next; the queue is not empty.
-func (q *passQueue) next() *Pass {
+func (q *passQueue) next(now time.Time) *Pass {
 	next := q.passes[0]
 	for _, pass := range q.passes[1:] {
-		if before(pass, next) {
+		if before(now, pass, next) {
 			next = pass
 		}
 	}
 	return next
 }
 
-// last returns the pass to shed from a full queue: of the least urgent class, the last
-// call of the organisation that holds most.
-func (q *passQueue) last() *Pass {
+// last returns the pass to shed from a full queue: of the least urgent class, one that is
+// late, or else the last call of the organisation that holds most.
+func (q *passQueue) last(now time.Time) *Pass {
 	last := q.passes[0]
 	for _, pass := range q.passes[1:] {
-		if shedBefore(pass, last) {
+		if shedBefore(now, pass, last) {
 			last = pass
 		}
 	}
@@ -89,38 +89,48 @@
 	return call.ReasonOverload
 }
 
-// ahead estimates how many queued passes are granted before a pass that has joined.
-func (q *passQueue) ahead(pass *Pass) int {
-	count, own := 0, 0
+// ahead estimates the service time of the queued passes that are granted before a pass
+// that has joined.
+func (q *passQueue) ahead(now time.Time, pass *Pass) time.Duration {
+	sum, own := time.Duration(0), time.Duration(0)
 	for _, other := range q.passes {
-		other.share.rank = 0
+		other.share.ranked = 0
 		switch {
-		case other.class != pass.class:
-			if before(other, pass) {
-				count++
+		case other.class != pass.class || other.late(now) != pass.late(now):
+			if before(now, other, pass) {
+				sum += other.cost
 			}
-		case other.share == pass.share && before(other, pass):
-			own++
+		case other.share == pass.share && before(now, other, pass):
+			own += other.cost
 		}
 	}
-	tag := pass.share.start + time.Duration(own)*pass.cost
+	tag := pass.share.start + own
 	for _, other := range q.passes {
-		if other.class != pass.class || other.share == pass.share {
+		if other.class != pass.class || other.late(now) != pass.late(now) || other.share == pass.share {
 			continue
 		}
-		if other.share.start+time.Duration(other.share.rank)*other.cost <= tag {
-			count++
+		if other.share.start+other.share.ranked <= tag {
+			sum += other.cost
 		}
-		other.share.rank++
+		other.share.ranked += other.cost
 	}
-	return count + own
+	return sum + own
+}
+
+// late reports whether a call that is not nested will miss its latency objective even if
+// it starts now.
+func (p *Pass) late(now time.Time) bool {
+	return p.class.depth == 0 && !p.request.Objective.IsZero() && now.Add(p.cost).After(p.request.Objective)
 }
 
 // before reports whether a is granted before b.
-func before(a, b *Pass) bool {
+func before(now time.Time, a, b *Pass) bool {
 	if a.class != b.class {
 		return a.class.before(b.class)
 	}
+	if late := a.late(now); late != b.late(now) {
+		return !late
+	}
 	if a.share.start != b.share.start {
 		return a.share.start < b.share.start
 	}
@@ -128,10 +138,13 @@
 }
 
 // shedBefore reports whether a is shed before b.
-func shedBefore(a, b *Pass) bool {
+func shedBefore(now time.Time, a, b *Pass) bool {
 	if a.class != b.class {
 		return b.class.before(a.class)
 	}
+	if late := a.late(now); late != b.late(now) {
+		return late
+	}
 	if a.share.held != b.share.held {
 		return a.share.held > b.share.held
 	}
--- a/admission/replay_test.go
+++ b/admission/replay_test.go
@@ -30,8 +30,13 @@
 }
 
 // tally counts the requests that began in a period.
-type tally struct{ asked, served, late, rejected, failed int }
+type tally struct {
+	asked, served, late, rejected, failed int
+	// wait is the total time from the first attempt to a rejection.
+	wait time.Duration
+}
 
+// share returns the share served in time.
 func (t tally) share() float64 { return float64(t.served) / float64(max(t.asked, 1)) }
 
 // replay runs requests against gates on a simulated clock.
@@ -41,6 +46,8 @@
 	order  int
 	rng    *rand.Rand
 	gates  map[string][]*replayGate
+	// ignoreObjectives means that gates order calls by deadline only.
+	ignoreObjectives bool
 
 	byKind         map[string]*tally
 	byOrganisation map[string]*tally
@@ -48,13 +55,12 @@
 	// work and wasted are the slot times of all runs and of those whose answer did not
 	// reach a caller.
 	work, wasted time.Duration
-	// rejectionWait is the total time from the first attempt to a rejection.
-	rejectionWait time.Duration
+	// meanTimes is the mean duration of an attempt, by service.
+	meanTimes map[string]time.Duration
 }
 
 type replayGate struct {
 	gate *admission.Gate
-	name string
 	// slow multiplies the service times; gone means that no call reaches it.
 	slow   float64
 	gone   bool
@@ -66,6 +72,7 @@
 	gate    *replayGate
 	pass    *admission.Pass
 	work    time.Duration
+	sent    time.Time
 	started func(a *attempt)
 	refused func(call.Reason)
 	closed  bool
@@ -74,13 +81,13 @@
 func newReplay(seed uint64) *replay {
 	return &replay{
 		now: now, rng: rand.New(rand.NewPCG(seed, seed)), gates: map[string][]*replayGate{},
-		byKind: map[string]*tally{}, byOrganisation: map[string]*tally{}, bySecond: map[int]*tally{},
+		byKind: map[string]*tally{}, byOrganisation: map[string]*tally{}, bySecond: map[int]*tally{}, meanTimes: map[string]time.Duration{},
 	}
 }
 
 func (r *replay) addGates(service string, count, slots int) {
 	for range count {
-		r.gates[service] = append(r.gates[service], &replayGate{gate: admission.NewGate(slots), name: service, slow: 1})
+		r.gates[service] = append(r.gates[service], &replayGate{gate: admission.NewGate(slots, admission.WithMaxUtilization(1)), slow: 1})
 	}
 }
 
@@ -120,15 +127,22 @@
 	return work
 }
 
-// choose returns the gate with the least load of three.
+// choose returns the gate with the least load of three that were not tried, nil if none
+// is left.
 func (r *replay) choose(service string, tried map[*replayGate]bool) *replayGate {
+	var left []*replayGate
+	for _, g := range r.gates[service] {
+		if !g.gone && !tried[g] {
+			left = append(left, g)
+		}
+	}
+	r.rng.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
 	var best *replayGate
 	lowest := 0.0
-	for range 3 {
-		g := r.gates[service][r.rng.IntN(len(r.gates[service]))]
+	for _, g := range left[:min(3, len(left))] {
 		load := g.gate.Load(r.now)
 		cost := float64(load.Running+load.Waiting) / float64(load.Limit)
-		if !g.gone && !tried[g] && (best == nil || cost < lowest) {
+		if best == nil || cost < lowest {
 			best, lowest = g, cost
 		}
 	}
@@ -137,7 +151,7 @@
 
 // request begins a request of a caller.
 func (r *replay) request(k *kind) {
-	counts := []*tally{count(r.byKind, k.name), count(r.byOrganisation, k.organisation), count(r.bySecond, int(r.since()/(2*time.Second)))}
+	counts := []*tally{count(r.byKind, k.name), count(r.byOrganisation, k.organisation), count(r.bySecond, int(r.since()/time.Second))}
 	for _, t := range counts {
 		t.asked++
 	}
@@ -164,20 +178,21 @@
 			r.after(after, func() { r.attempt(k, counts, begun, retries-1) })
 			return
 		}
-		r.rejectionWait += r.now.Sub(begun)
 		for _, t := range counts {
 			t.rejected++
+			t.wait += r.now.Sub(begun)
 		}
 	}
 	request := admission.Request{
 		Deadline: deadline, Priority: k.priority, Organisation: k.organisation, Expected: k.work,
+		Objective: begun.Add(k.objective),
 	}
 	started := func(a *attempt) { r.execute(k, a, counts, begun) }
-	r.call(k.service, request, k.work, begun.Add(k.objective), started, func(call.Reason) { reject(150 * time.Millisecond) })
+	r.call(k.service, request, k.work, begun, begun.Add(k.objective), started, func(call.Reason) { reject(150 * time.Millisecond) })
 }
 
 // call sends a call to up to two gates that may queue it.
-func (r *replay) call(service string, request admission.Request, work time.Duration, objective time.Time, started func(*attempt), refused func(call.Reason)) {
+func (r *replay) call(service string, request admission.Request, work time.Duration, begun, objective time.Time, started func(*attempt), refused func(call.Reason)) {
 	tried := map[*replayGate]bool{}
 	var next func(call.Reason)
 	next = func(reason call.Reason) {
@@ -189,7 +204,8 @@
 		tried[g] = true
 		wait := request.Deadline.Sub(r.now) / 2
 		if request.Depth == 0 {
-			wait = min(wait, max(objective.Sub(r.now)-work, 40*time.Millisecond))
+			left := objective.Sub(begun)
+			wait = min(wait, max(objective.Sub(r.now)-r.meanTimes[service], left*15/100), left*4/10)
 		}
 		r.admit(&attempt{gate: g, work: work, started: started, refused: next}, request, wait)
 	}
@@ -198,13 +214,17 @@
 
 // admit asks a gate and waits up to wait for its pass.
 func (r *replay) admit(a *attempt, request admission.Request, wait time.Duration) {
+	request.MaxWait = wait
+	if r.ignoreObjectives {
+		request.Objective = time.Time{}
+	}
 	pass, refusal := a.gate.gate.Admit(r.now, request)
 	if refusal != nil {
 		r.settle(a.gate)
 		a.refused(refusal.Reason())
 		return
 	}
-	a.pass = pass
+	a.pass, a.sent = pass, r.now
 	a.gate.queued = append(a.gate.queued, a)
 	r.settle(a.gate)
 	if !a.closed {
@@ -264,6 +284,7 @@
 			return
 		}
 		elapsed := r.now.Sub(begun)
+		r.meanTimes[k.service] += (r.now.Sub(a.sent) - r.meanTimes[k.service]) / 20
 		r.end(a, started, !failed && elapsed < k.timeout)
 		for _, t := range counts {
 			switch {
@@ -285,7 +306,7 @@
 		open = 2
 		for range 2 {
 			nested := admission.Request{Deadline: earliest(deadline, r.now.Add(300*time.Millisecond)), Depth: 1, Expected: k.nestedWork}
-			r.call(k.nested, nested, k.nestedWork, nested.Deadline, func(b *attempt) {
+			r.call(k.nested, nested, k.nestedWork, r.now, nested.Deadline, func(b *attempt) {
 				began := r.now
 				r.after(time.Duration(b.gate.slow*float64(r.serviceTime(k.nestedWork))), func() {
 					r.end(b, began, true)
@@ -303,11 +324,22 @@
 	return b
 }
 
+// within adds up the tallies of the seconds from, up to to.
+func (r *replay) within(from, to int) tally {
+	sum := tally{}
+	for i := from; i < to; i++ {
+		if t := r.bySecond[i]; t != nil {
+			sum.asked, sum.served = sum.asked+t.asked, sum.served+t.served
+		}
+	}
+	return sum
+}
+
 // worst returns the least share served in time in two seconds of the demand.
 func (r *replay) worst() float64 {
 	lowest := 1.0
-	for _, t := range r.bySecond {
-		lowest = min(lowest, t.share())
+	for i := range len(r.bySecond) - 1 {
+		lowest = min(lowest, r.within(i, i+2).share())
 	}
 	return lowest
 }
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -30,8 +30,8 @@
 	// held is the expected service time of its queued calls, and waiting their number.
 	held    time.Duration
 	waiting int
-	// rank counts its calls in an estimate.
-	rank int
+	// ranked sums up its calls in an estimate.
+	ranked time.Duration
 }
 
 // shares holds the organisations of a class; an organisation that has used no more than
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -40,7 +40,10 @@
 	}
 	request := admission.Request{
 		Deadline: now.Add(meta.Remaining), Depth: meta.Depth, Priority: meta.Priority, Expected: g.expectedRunTime(meta.Route),
-		Organisation: meta.Organisation,
+		Organisation: meta.Organisation, Immediate: meta.MaxWait <= 0, MaxWait: meta.MaxWait,
+	}
+	if meta.ObjectiveRemaining != 0 {
+		request.Objective = now.Add(meta.ObjectiveRemaining)
 	}
 	pass, refusal := t.admission.Admit(now, request)
 	if refusal != nil {
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -64,6 +64,9 @@
 	EntryHost string `cbor:"17,keyasint,omitempty"`
 	// Organisation is the organisation of the caller, "" for none.
 	Organisation string `cbor:"20,keyasint,omitempty"`
+	// ObjectiveRemaining is the time left until the latency objective, negative
+	// afterwards, 0 for a call that is not queued or whose late answer is as good.
+	ObjectiveRemaining time.Duration `cbor:"23,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -79,6 +79,9 @@
 	}
 	if !a.declinable {
 		meta.MaxWait = s.maxWait(now, remaining)
+		if s.depth == 0 {
+			meta.ObjectiveRemaining = s.objectiveRemaining(now)
+		}
 	}
 	return meta
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -96,6 +96,7 @@
 	observe       func(Observation)
 	parentRun     ParentLookup
 	nestedCalls   *nestedCalls
+	usualTimeouts *usualTimeouts
 	host          string
 	blocklist     *quarantine.Blocklist
 	transferUnit  int64
@@ -186,8 +187,8 @@
 		blocklist: quarantine.NewBlocklist(), transferUnit: routing.DefaultTransferUnit, suspected: func(string) {},
 		regionOf:    func(string) string { return "" },
 		parentRun:   func(string, string, int) (egress.Run, bool) { return egress.Run{}, false },
-		nestedCalls: newNestedCalls(),
-		rng:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		nestedCalls: newNestedCalls(), usualTimeouts: newUsualTimeouts(),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
 		option(in)
@@ -261,6 +262,7 @@
 		}
 	} else {
 		in.retryBudgets.recordRequest(s.received, s.service)
+		s.elapsedBefore = in.usualTimeouts.elapsed(s.received, s.route.Name, s.headers.Timeout())
 	}
 	if in.cannotComplete(s) {
 		s.refuse(call.ReasonStopping)
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -51,6 +51,8 @@
 	fingerprint uint64
 	received    time.Time
 	timeout     time.Duration
+	// elapsedBefore is the estimated time from the caller's first attempt to received.
+	elapsedBefore time.Duration
 	// depth is the number of calls above this one in its call chain.
 	depth int
 	// parentRetried means that the run that makes this nested call is a retry, and
--- a/ingress/waiting.go
+++ b/ingress/waiting.go
@@ -27,7 +27,13 @@
 		return limit
 	}
 	objective := float64(s.objective())
-	slack := s.objective() - now.Sub(s.received) - s.in.meanTime(s.route.Name)
+	slack := s.objectiveRemaining(now) - s.in.meanTime(s.route.Name)
 	wait := min(max(slack, time.Duration(minWaitShare*objective)), time.Duration(maxWaitShare*objective))
 	return min(wait, limit)
 }
+
+// objectiveRemaining returns the time left until the latency objective, which counts from
+// the caller's first attempt; it is negative afterwards.
+func (s *session) objectiveRemaining(now time.Time) time.Duration {
+	return s.objective() - s.elapsedBefore - now.Sub(s.received)
+}
