--- a/routing/least_cost.go
+++ b/routing/least_cost.go
@@ -157,7 +157,10 @@
 // must be held.
 func (p *LeastCost) cost(now time.Time, candidate Candidate) float64 {
 	cost := 0.0
-	if candidate.remote {
+	switch {
+	case candidate.priced:
+		cost += candidate.wayCost
+	case candidate.remote:
 		cost += remoteCost + p.TransferCost(candidate.transferBytes)
 	}
 	u := p.upstreams[candidate.name]
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -14,6 +14,8 @@
 	remote        bool
 	transferBytes int64
 	group         string
+	priced        bool
+	wayCost       float64
 }
 
 // NewCandidate describes an upstream; rtt is the round-trip time to it, and
@@ -36,6 +38,13 @@
 	return c
 }
 
+// WithWayCost returns the candidate with the cost of the way to it, in place of that of
+// its transfer to another failure domain.
+func (c Candidate) WithWayCost(cost float64) Candidate {
+	c.priced, c.wayCost = true, cost
+	return c
+}
+
 // Name returns the upstream's name.
 func (c Candidate) Name() string { return c.name }
 
