ingress, egress, hop: leave the failure domain by the room there

WithLeavingByRoom makes first attempts leave by the shares of package locality; a later attempt and a hedge choose at the cost of each way. Without it the choice is the present one. Gates report how long they had a call, so that entry nodes learn the delay of the way and the time of runs. Attempts record their way and why they left.

The spec "that is declined in its own failure domain, returns to be queued there" depends on the draws that its seed gives (the costs differ by less than the jitter): it failed while New drew twice more from its source, so New draws only if the option is set.

--- a/hop/meta.go
+++ b/hop/meta.go
@@ -99,6 +99,9 @@
 	QueueTime time.Duration `cbor:"9,keyasint,omitempty"`
 	// NestedCalls counts the calls that the run made, by the called service.
 	NestedCalls map[string]int `cbor:"10,keyasint,omitempty"`
+	// GateTime is the time from the arrival of the call at the gate to its answer, with
+	// QueueTime, 0 if the gate does not report it.
+	GateTime time.Duration `cbor:"17,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -60,6 +60,7 @@
 	switch host := a.peer.Beacon().Host; {
 	case r.answer.Meta.FromGate:
 		in.view.RecordActivity(now, host)
+		in.recordGateTime(a, now.Sub(a.started), r.answer.Meta, meta.Route)
 	case r.answer.Meta.Reason == call.ReasonConnection && ctx.Err() == nil && host != in.host:
 		in.suspect(now, a.started, host)
 	}
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -71,6 +71,7 @@
 		s.trail = append(s.trail, AttemptRecord{
 			Host: b.Host, Upstream: b.Upstream, Reason: call.ReasonUnfinished, Hedge: a.hedge,
 			Retry: a.charge != nil, Offset: a.started.Sub(s.received), Elapsed: now.Sub(a.started),
+			Way: a.way, Leaving: a.leaving,
 		})
 	}
 	o := Observation{
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/locality"
 	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/quarantine"
 	"github.com/banyancross/banyancross/route"
@@ -79,6 +80,10 @@
 	QueueTime time.Duration
 	// Load is the upstream's load as the gate reported it with its answer.
 	Load call.Load
+	// Way is the way to the upstream's failure domain, and Leaving why the attempt left
+	// that of the entry node, "" if it did not.
+	Way     locality.Way
+	Leaving locality.Reason
 }
 
 // Ingress serves the requests of a host's callers; it is safe for concurrent use.
@@ -101,6 +106,7 @@
 	transferUnit  int64
 	suspected     func(host string)
 	regionOf      func(failureDomain string) string
+	leaving       *leaving
 	// stop is set once the process stops.
 	stop atomic.Pointer[stopTimes]
 
@@ -186,8 +192,8 @@
 		blocklist: quarantine.NewBlocklist(), transferUnit: routing.DefaultTransferUnit, suspected: func(string) {},
 		regionOf:    func(string) string { return "" },
 		parentRun:   func(string, string, int) (egress.Run, bool) { return egress.Run{}, false },
-		nestedCalls: newNestedCalls(),
-		rng:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		nestedCalls: newNestedCalls(), leaving: newLeaving(),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
 		option(in)
@@ -197,6 +203,7 @@
 	}
 	in.retryBudgets = newRetryBudgets(in.retryBudget, view, in.started, in.rng.Float64())
 	in.policy = routing.NewLeastCost(rand.New(rand.NewPCG(in.rng.Uint64(), in.rng.Uint64())), routing.WithTransferUnit(in.transferUnit))
+	in.leaving.start(in.rng)
 	return in
 }
 
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -90,6 +90,9 @@
 	// loads holds the load of each host. If it is set, the first host is in the
 	// failure domain of the ingress and the others are not.
 	loads []call.Load
+	// domains holds the failure domain of each host, in place of that rule.
+	domains []string
+	options []ingress.Option
 	// uptime is the age of the process, a minute if it is not set.
 	uptime time.Duration
 	// calledService is a service that no route leads to, "" for none.
@@ -125,13 +128,17 @@
 			if i == 0 {
 				b.FailureDomain = "z1"
 			}
+			if len(s.domains) > 0 {
+				b.FailureDomain = s.domains[i]
+			}
 		}
 		beacons = append(beacons, b)
 		view.Merge(time.Now(), b)
 	}
 	sender := &fakeSender{do: do}
-	in := ingress.New("z1", func() *route.Table { return table }, func() string { return "stock" }, view, sender,
-		ingress.WithRetryBudget(s.budget), ingress.WithStart(time.Now().Add(-cmp.Or(s.uptime, time.Minute))), ingress.WithSeed(1))
+	in := ingress.New("z1", func() *route.Table { return table }, func() string { return "stock" }, view, sender, append([]ingress.Option{
+		ingress.WithRetryBudget(s.budget), ingress.WithStart(time.Now().Add(-cmp.Or(s.uptime, time.Minute))), ingress.WithSeed(1),
+	}, s.options...)...)
 	in.SetMeanSize("r", s.meanResponseBytes)
 	for _, b := range beacons {
 		if len(s.loads) > 0 {
--- a/ingress/placement.go
+++ b/ingress/placement.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/locality"
 	"github.com/banyancross/banyancross/routing"
 )
 
@@ -25,8 +26,18 @@
 )
 
 // place chooses the upstream for the next attempt out of peers, which is not
-// empty, and reports whether its gate may decline the request.
-func (s *session) place(now time.Time, peers []fleet.Peer, hedge bool) (fleet.Peer, bool) {
+// empty, and reports whether its gate may decline the request, and why the attempt
+// leaves the failure domain.
+func (s *session) place(now time.Time, peers []fleet.Peer, hedge bool) (fleet.Peer, bool, locality.Reason) {
+	if s.in.leaving.byRoom() {
+		return s.placeByRoom(now, peers, hedge)
+	}
+	peer, declinable := s.placeByConstant(now, peers, hedge)
+	return peer, declinable, s.leavingReason(peer, hedge, locality.ReasonCost)
+}
+
+// placeByConstant is place at a constant cost of the way to other failure domains.
+func (s *session) placeByConstant(now time.Time, peers []fleet.Peer, hedge bool) (fleet.Peer, bool) {
 	transferCost := s.in.policy.TransferCost(s.transferBytes())
 	if transferCost >= localTransferCost {
 		if free := s.freeLocalPeers(peers); len(free) > 0 {
@@ -34,11 +45,14 @@
 		}
 	}
 	peer := s.choose(now, peers)
-	b := peer.Beacon()
-	// When no better upstream is left, queueing beats a refusal.
-	declinable := s.picks < maxDeclinablePicks && len(peers) > 1 &&
-		!s.declinedLocal[b.Host] && !s.in.policy.Overloaded(now, peer.Key())
-	return peer, hedge || declinable
+	return peer, hedge || s.declinable(now, peer, len(peers))
+}
+
+// declinable reports whether the gate of the chosen one out of a number of upstreams may
+// decline the request. When no better upstream is left, queueing beats a refusal.
+func (s *session) declinable(now time.Time, peer fleet.Peer, upstreams int) bool {
+	return s.picks < maxDeclinablePicks && upstreams > 1 &&
+		!s.declinedLocal[peer.Beacon().Host] && !s.in.policy.Overloaded(now, peer.Key())
 }
 
 // candidates returns the upstreams to choose from. A hedge of a request with a long
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -9,6 +9,7 @@
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/locality"
 	"github.com/banyancross/banyancross/organisation"
 	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/route"
@@ -93,6 +94,8 @@
 	charge *retryCharge
 	// repeated means that an earlier attempt has run, runs, or may have run.
 	repeated bool
+	way      locality.Way
+	leaving  locality.Reason
 }
 
 // exchange sends the request to upstreams until one answers or it must not be
@@ -199,7 +202,7 @@
 	record := AttemptRecord{
 		Host: r.attempt.peer.Beacon().Host, Upstream: r.attempt.peer.Beacon().Upstream, Outcome: meta.Outcome,
 		Reason: meta.Reason, Hedge: r.attempt.hedge, Retry: r.attempt.charge != nil, Offset: r.attempt.started.Sub(s.received), Elapsed: now.Sub(r.attempt.started),
-		QueueTime: meta.QueueTime,
+		QueueTime: meta.QueueTime, Way: r.attempt.way, Leaving: r.attempt.leaving,
 	}
 	if meta.Load != nil {
 		record.Load = *meta.Load
@@ -245,7 +248,7 @@
 			return false
 		}
 	}
-	peer, declinable := s.place(now, peers, hedge)
+	peer, declinable, leaving := s.place(now, peers, hedge)
 	name := peer.Beacon().Host
 	if !declinable {
 		s.queuedPicks++
@@ -258,7 +261,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a := &attempt{
 		peer: peer, cancel: cancel, started: now, hedge: hedge, declinable: declinable, charge: charge,
-		repeated: s.mayHaveRun(), minSlowdown: minSlowdown(serving),
+		repeated: s.mayHaveRun(), minSlowdown: minSlowdown(serving), way: s.in.wayTo(peer), leaving: leaving,
 	}
 	s.inFlight = append(s.inFlight, a)
 	s.in.policy.Started(now, peer.Key())
