evacuation, platform, sidecar, ingress, egress: obey evacuations of failure domains

Cause: nothing read the operators' keys for evacuations, so the upstreams of an evacuated failure domain went on to get calls.

Change: one watch of the operators' prefix serves the configuration and the evacuations. Nodes gossip the set with the store's revision at which it was known; the higher revision wins whole. Entry nodes leave out the upstreams, and the gate beside them rejects new and queued calls. The fakes of the store in two specs of sidecar implement the new method of the interface; what they check is unchanged.

With the filter at the entry node off, or the check at the gate off, those of ingress and egress fail.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -52,7 +52,8 @@
 		answer.Meta.QueueTime = waited
 		return answer
 	}
-	// The upstream may have started to drain while the call was queued.
+	// The upstream may have started to drain, or its failure domain may have been
+	// evacuated, while the call was queued.
 	if _, refused := g.checkUpstream(meta); refused != "" {
 		pass.End(g.clock.Now(), false)
 		return Refusal(call.NotRun, refused)
@@ -72,6 +73,9 @@
 
 // checkUpstream returns the target of a call, or the reason to reject the call.
 func (g *Gate) checkUpstream(meta hop.Meta) (target, call.Reason) {
+	if g.evacuated() {
+		return target{}, call.ReasonEvacuated
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -84,6 +84,7 @@
 	// notifySaturation is called when the share of slots in use changes.
 	notifySaturation func()
 	blocklist        *quarantine.Blocklist
+	evacuated        func() bool
 	dial             http1.Dial
 	tomb             tomb.Tomb
 
@@ -123,6 +124,10 @@
 	return func(g *Gate) { g.blocklist = blocklist }
 }
 
+// WithEvacuation sets the function that reports whether the upstream's failure domain is
+// evacuated. Then the gate rejects all calls; those in progress run to their end.
+func WithEvacuation(evacuated func() bool) Option { return func(g *Gate) { g.evacuated = evacuated } }
+
 // WithLoadNotify calls notify whenever the upstream becomes full or slow, or
 // ceases to be, so that entry nodes can choose another upstream.
 func WithLoadNotify(notify func()) Option { return func(g *Gate) { g.notifyLoad = notify } }
@@ -139,7 +144,7 @@
 		clock: clock.System{}, logger: log.NewNopLogger(), address: address, table: table, notifyPhase: func() {},
 		departed: map[incarnation]struct{}{}, runs: map[string]*Run{},
 		entryNodes: map[string]time.Time{}, runTimes: map[string]*movingMean{}, notifyLoad: func() {}, notifySaturation: func() {}, restored: map[string]SaturationEstimate{},
-		blocklist: quarantine.NewBlocklist(), runLog: newRunLog(),
+		blocklist: quarantine.NewBlocklist(), evacuated: func() bool { return false }, runLog: newRunLog(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
--- /dev/null
+++ b/evacuation/set.go
@@ -0,0 +1,87 @@
+package evacuation
+
+import (
+	"slices"
+)
+
+const (
+	// maxNameBytes is the longest name of a failure domain: that of a DNS label.
+	maxNameBytes = 63
+	// maxTotalBytes bounds the names of a Set together, so that a beacon with one
+	// still fits into one packet. It holds twenty names of the usual length.
+	maxTotalBytes = 400
+)
+
+// Set is the evacuated failure domains as of a revision of the store; it is immutable.
+// The zero Set is older than all others and has no domains.
+type Set struct {
+	revision uint64
+	// domains is sorted.
+	domains []string
+	// relevant means that the set has domains, or replaced a set that had some.
+	relevant bool
+}
+
+// Snapshot returns the Set of all failure domains that are evacuated as of a revision.
+func Snapshot(revision uint64, domains ...string) Set {
+	sorted := slices.Compact(slices.Sorted(slices.Values(domains)))
+	return Set{revision: revision, domains: sorted, relevant: len(sorted) > 0}
+}
+
+// Update returns the Set after an evacuation began or ended at a revision, as the store
+// or another node tells.
+func Update(revision uint64, domains ...string) Set {
+	s := Snapshot(revision, domains...)
+	s.relevant = revision > 0
+	return s
+}
+
+// Merge returns the Set of the higher revision.
+func (s Set) Merge(other Set) Set {
+	latest := s
+	if other.revision > s.revision {
+		latest = other
+	}
+	// A node that holds a replaced set must hear that it was replaced.
+	latest.relevant = s.relevant || other.relevant
+	return latest
+}
+
+// Has reports whether a failure domain is evacuated.
+func (s Set) Has(domain string) bool {
+	_, found := slices.BinarySearch(s.domains, domain)
+	return found
+}
+
+// Same reports whether two sets have the same failure domains.
+func (s Set) Same(other Set) bool { return slices.Equal(s.domains, other.domains) }
+
+// Revision returns the revision of the store at which the Set was known.
+func (s Set) Revision() uint64 { return s.revision }
+
+// Domains returns the evacuated failure domains, sorted; they must not be changed.
+func (s Set) Domains() []string { return s.domains }
+
+// Announcement returns what other nodes must know: 0 and nil if there never was an
+// evacuation.
+func (s Set) Announcement() (revision uint64, domains []string) {
+	if !s.relevant {
+		return 0, nil
+	}
+	return s.revision, s.domains
+}
+
+// Usable returns the first names, in order, that a Set may hold, and the others: those
+// that name no failure domain or exceed the bound of all names together.
+func Usable(domains []string) (usable, unusable []string) {
+	total := 0
+	for _, domain := range slices.Sorted(slices.Values(domains)) {
+		if domain == "" || len(domain) > maxNameBytes || total+len(domain) > maxTotalBytes {
+			unusable = append(unusable, domain)
+			continue
+		}
+		total += len(domain)
+		usable = append(usable, domain)
+	}
+	return usable, unusable
+}
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/codec"
+	"github.com/banyancross/banyancross/evacuation"
 	"github.com/banyancross/banyancross/quarantine"
 )
 
@@ -74,6 +75,11 @@
 	StoreUnreachable bool `cbor:"19,keyasint,omitempty"`
 	// Ping asks the receiver for a beacon in return.
 	Ping bool `cbor:"20,keyasint,omitempty"`
+	// EvacuationRevision is the revision of the store at which Evacuated was known, 0 if
+	// there never was an evacuation.
+	EvacuationRevision uint64 `cbor:"30,keyasint,omitempty"`
+	// Evacuated holds the evacuated failure domains.
+	Evacuated []string `cbor:"31,keyasint,omitempty"`
 	// Interval is the time until the receiver is sent the next beacon.
 	Interval time.Duration `cbor:"14,keyasint,omitempty"`
 }
@@ -99,6 +105,8 @@
 	// nanoseconds, and a node raises its own above one that others know.
 	maxIncarnation = 1 << 62
 	maxSequence    = 1 << 62
+	// maxRevision bounds the revision of an evacuation, which a later one must exceed.
+	maxRevision = 1 << 62
 )
 
 // validate returns why the beacon names no node that can be called, nil if it does.
@@ -117,6 +125,12 @@
 	if b.Slots < 0 || b.Slots > call.MaxSlots {
 		return eris.Errorf("%d slots are out of range", b.Slots)
 	}
+	if _, unusable := evacuation.Usable(b.Evacuated); len(unusable) > 0 {
+		return eris.Errorf("%q cannot be evacuated failure domains", unusable)
+	}
+	if b.EvacuationRevision > maxRevision {
+		return eris.Errorf("evacuation revision %d is out of range", b.EvacuationRevision)
+	}
 	for _, ratio := range []float32{b.Load.Slowdown, b.SaturationSlowdown, b.SaturationSamples} {
 		// The comparisons are false for NaN.
 		if !(ratio >= 0 && ratio <= math.MaxFloat32) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,6 +173,36 @@
 	)
 })
 
+var _ = Describe("the evacuation in a beacon", func() {
+	It("takes no bytes as long as there never was one", func() {
+		plain, err := beacon("a", 1, 1).Encode()
+		Expect(err).NotTo(HaveOccurred())
+		b := beacon("a", 1, 1)
+		b.EvacuationRevision, b.Evacuated = 7, []string{"z1"}
+		data, err := b.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		// A two-byte key for each, a number, and a list of one text of two bytes.
+		Expect(len(data) - len(plain)).To(Equal(2 + 1 + 2 + 1 + 3))
+		decoded, err := fleet.Decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded.Evacuated).To(Equal([]string{"z1"}))
+	})
+
+	DescribeTable("is rejected if it would not fit into the beacons of other nodes",
+		func(revision uint64, domains ...string) {
+			b := beacon("a", 1, 1)
+			b.EvacuationRevision, b.Evacuated = revision, domains
+			data, err := b.Encode()
+			Expect(err).NotTo(HaveOccurred())
+			_, err = fleet.Decode(data)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("an empty name", uint64(1), ""),
+		Entry("a long name", uint64(1), strings.Repeat("z", 64)),
+		Entry("a revision that no other can exceed", uint64(math.MaxUint64), "z1"),
+	)
+})
+
 func FuzzDecode(f *testing.F) {
 	data, err := beacon("a", 1, 1).Encode()
 	if err != nil {
--- a/ingress/identity.go
+++ b/ingress/identity.go
@@ -2,11 +2,9 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/egress"
-	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/platform"
 )
 
@@ -67,38 +65,3 @@
 	}
 	return s.organisation.Priority(s.route.Priority)
 }
-
-// permitted returns the upstreams in the regions that both the route and the organisation
-// allow.
-func (s *session) permitted(peers []fleet.Peer) []fleet.Peer {
-	lists := [][]string{s.route.Regions}
-	if s.organisation != nil {
-		lists = append(lists, s.organisation.Regions())
-	}
-	for _, regions := range lists {
-		if len(regions) > 0 {
-			peers = s.inRegions(peers, regions)
-		}
-	}
-	return peers
-}
-
-// noUpstreamReason returns why there is no upstream to send the request to.
-func (s *session) noUpstreamReason() call.Reason {
-	serving := s.in.view.Serving(s.service)
-	if len(serving) > 0 && len(s.permitted(serving)) == 0 {
-		return call.ReasonNoRegion
-	}
-	return call.ReasonNoUpstream
-}
-
-// inRegions returns the upstreams in one of the regions.
-func (s *session) inRegions(peers []fleet.Peer, regions []string) []fleet.Peer {
-	inside := make([]fleet.Peer, 0, len(peers))
-	for _, peer := range peers {
-		if slices.Contains(regions, s.in.regionOf(peer.Beacon().FailureDomain)) {
-			inside = append(inside, peer)
-		}
-	}
-	return inside
-}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/evacuation"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/http1"
@@ -101,6 +102,7 @@
 	transferUnit  int64
 	suspected     func(host string)
 	regionOf      func(failureDomain string) string
+	evacuation    func() evacuation.Set
 	// stop is set once the process stops.
 	stop atomic.Pointer[stopTimes]
 
@@ -160,6 +162,12 @@
 	return func(in *Ingress) { in.regionOf = regionOf }
 }
 
+// WithEvacuation sets the function that returns the evacuated failure domains, to whose
+// upstreams no request is sent.
+func WithEvacuation(known func() evacuation.Set) Option {
+	return func(in *Ingress) { in.evacuation = known }
+}
+
 // suspect marks a node as silent after a call started at started did not reach it.
 func (in *Ingress) suspect(now, started time.Time, host string) {
 	if in.view.Suspect(now, started, host) {
@@ -185,6 +193,7 @@
 		view: view, sender: sender, observe: func(Observation) {}, meanTimes: map[string]time.Duration{}, meanSizes: map[string]int64{},
 		blocklist: quarantine.NewBlocklist(), transferUnit: routing.DefaultTransferUnit, suspected: func(string) {},
 		regionOf:    func(string) string { return "" },
+		evacuation:  func() evacuation.Set { return evacuation.Set{} },
 		parentRun:   func(string, string, int) (egress.Run, bool) { return egress.Run{}, false },
 		nestedCalls: newNestedCalls(),
 		rng:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -44,14 +44,15 @@
 type sentAttempt struct {
 	host string
 	meta hop.Meta
+	call *egress.Call
 	at   time.Time
 }
 
 // Send implements ingress.Sender.
-func (sender *fakeSender) Send(ctx context.Context, peer fleet.Peer, meta hop.Meta, _ *egress.Call) *egress.Answer {
+func (sender *fakeSender) Send(ctx context.Context, peer fleet.Peer, meta hop.Meta, c *egress.Call) *egress.Answer {
 	host := peer.Beacon().Host
 	sender.mu.Lock()
-	sender.sent = append(sender.sent, sentAttempt{host: host, meta: meta, at: time.Now()})
+	sender.sent = append(sender.sent, sentAttempt{host: host, meta: meta, call: c, at: time.Now()})
 	sender.mu.Unlock()
 	answer := sender.do(host, meta)
 	if answer == nil {
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -71,6 +71,7 @@
 	if table := s.table.Load(); table != nil {
 		b.Revision = table.Revision()
 	}
+	b.EvacuationRevision, b.Evacuated = s.knownEvacuation().Announcement()
 	s.gate.FillBeacon(&b)
 	b.Blocklist = s.blocklist.Records(s.clock.Now())
 	return b
@@ -344,6 +345,7 @@
 		s.handleEcho(b)
 		return
 	}
+	s.mergeAnnounced(b, b.Host)
 	change := s.view.Merge(s.clock.Now(), b)
 	s.ingress.UpdateLoad(&b)
 	s.blocklist.Merge(s.clock.Now(), b.Host, b.Blocklist)
@@ -354,8 +356,9 @@
 		// The sender's clock was set back before its restart.
 		s.sendDatagram(&b, transferBeacons, s.encodeBeacon(*change.Later, change.Later.Interval))
 	}
-	if !change.Known || change.Restarted || b.Ping {
-		// The other node may not know this one yet, or waits for a sign of life.
+	if !change.Known || change.Restarted || b.Ping || s.outdatedEvacuation(b) {
+		// The other node may not know this one yet, waits for a sign of life, or obeys an
+		// evacuation that has changed.
 		own := s.beacon()
 		s.sendDatagram(&b, transferBeacons, s.encodeBeacon(own, gossipInterval(s.view.Len())))
 	}
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -56,10 +56,10 @@
 	maxConfigurationBytes = platform.MaxValueBytes
 )
 
-// watchConfiguration watches the operators' configuration in the store while this
-// node is among the watchers.
-func (s *Sidecar) watchConfiguration() error {
-	var last platform.Entry
+// watchOperators watches what the operators store, the configuration and evacuations,
+// while this node is among the watchers.
+func (s *Sidecar) watchOperators() error {
+	var last platform.Operators
 	backoff, watching := minStoreBackoff, false
 	for s.tomb.Alive() {
 		previous := watching
@@ -72,7 +72,7 @@
 			}
 			continue
 		}
-		next, err := s.store.WatchFor(s.context(), platform.ConfigurationKey, last, s.watchWait())
+		next, err := s.store.WatchOperators(s.context(), last, s.watchWait())
 		if err != nil {
 			if !s.tomb.Alive() {
 				return nil
@@ -86,8 +86,11 @@
 		}
 		backoff = minStoreBackoff
 		s.recordStoreResult(nil)
-		if next.Version() != last.Version() && len(next.Value()) > 0 {
-			s.applyConfiguration(next.Value(), storeSource)
+		// A node that knows the configuration must not send calls to where an
+		// evacuation forbids it.
+		s.applyEvacuation(next, last)
+		if entry := next.Configuration(); entry.Version() != last.Configuration().Version() && len(entry.Value()) > 0 {
+			s.applyConfiguration(entry.Value(), storeSource)
 		}
 		last = next
 	}
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -42,6 +42,9 @@
 	return peer.Beacon().Interval
 }
 
+// Evacuated returns the evacuated failure domains that the node knows.
+func (s *Sidecar) Evacuated() []string { return s.knownEvacuation().Domains() }
+
 // Registered reports whether the node's entry is in the store.
 func (s *Sidecar) Registered() bool { return s.registered.Load() }
 
--- a/sidecar/joining.go
+++ b/sidecar/joining.go
@@ -137,6 +137,7 @@
 	}
 	others := roster[:0]
 	for _, b := range roster {
+		s.mergeAnnounced(b, peer.Beacon().Host)
 		if b.Host == conf.Host() {
 			s.handleEcho(b)
 			continue
--- a/sidecar/joining_test.go
+++ b/sidecar/joining_test.go
@@ -227,8 +227,8 @@
 	return platform.Entry{}, errNoAnswer
 }
 
-func (s *listOnlyStore) WatchFor(context.Context, string, platform.Entry, time.Duration) (platform.Entry, error) {
-	return platform.Entry{}, errNoAnswer
+func (s *listOnlyStore) WatchOperators(context.Context, platform.Operators, time.Duration) (platform.Operators, error) {
+	return platform.Operators{}, errNoAnswer
 }
 
 func (s *listOnlyStore) GrantLease(context.Context, time.Duration) (uint64, error) {
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -215,7 +215,10 @@
 	if err != nil {
 		return err
 	}
-	value, err := codec.Marshal(s.beacon())
+	entry := s.beacon()
+	// The store has the evacuations themselves.
+	entry.EvacuationRevision, entry.Evacuated = 0, nil
+	value, err := codec.Marshal(entry)
 	if err != nil {
 		return err
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 
 	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/evacuation"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/ingress"
@@ -35,7 +36,7 @@
 type Store interface {
 	List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error)
 	Get(ctx context.Context, key string) (platform.Entry, error)
-	WatchFor(ctx context.Context, key string, last platform.Entry, wait time.Duration) (platform.Entry, error)
+	WatchOperators(ctx context.Context, last platform.Operators, wait time.Duration) (platform.Operators, error)
 	Set(ctx context.Context, key string, value []byte) error
 	PutWithLease(ctx context.Context, key string, value []byte, lease uint64) error
 	GrantLease(ctx context.Context, duration time.Duration) (uint64, error)
@@ -57,6 +58,8 @@
 	settings         atomic.Pointer[settings.Sidecar]
 	table            atomic.Pointer[route.Table]
 	rawConfiguration atomic.Pointer[[]byte]
+	// evacuation is nil as long as nothing is known.
+	evacuation atomic.Pointer[evacuation.Set]
 	// incarnation is higher than that of each earlier start of the node.
 	incarnation atomic.Int64
 	sequence    atomic.Uint64
@@ -158,12 +161,14 @@
 	s.logger = log.With(s.logger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.BackendAddress(), s.table.Load, egress.WithClock(s.clock),
 		egress.WithLogger(s.logger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
-		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist))
+		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist),
+		egress.WithEvacuation(s.evacuated))
 	s.sender = newSender(s.clock, conf.Host(), conf.FailureDomain(), s.gate, &s.transfers)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.sender,
 		ingress.WithClock(s.clock), ingress.WithParentLookup(s.gate.RecordNestedCalls), ingress.WithHost(conf.Host()), ingress.WithBlocklist(s.blocklist),
 		ingress.WithObserver(newRequestLog(s).observe), ingress.WithTransferUnit(conf.TransferUnit()), ingress.WithSuspicion(s.logSuspect), ingress.WithStart(s.started),
 		ingress.WithRegions(func(failureDomain string) string { return s.settings.Load().RegionOf(failureDomain) }),
+		ingress.WithEvacuation(s.knownEvacuation),
 		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
 	if err := s.listen(conf); err != nil {
 		s.Kill()
@@ -267,7 +272,7 @@
 
 // start starts the node's loops.
 func (s *Sidecar) start() {
-	s.tomb.Go(s.watchConfiguration)
+	s.tomb.Go(s.watchOperators)
 	s.tomb.Go(s.register)
 	s.tomb.Go(s.join)
 	s.tomb.Go(s.storeEstimates)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -119,13 +119,19 @@
 
 // add starts a host whose backend server has not sent a heartbeat yet.
 func (f *testFleet) add(options ...sidecar.Option) *host {
+	GinkgoHelper()
+	return f.addIn("z1", options...)
+}
+
+// addIn is add in a failure domain.
+func (f *testFleet) addIn(failureDomain string, options ...sidecar.Option) *host {
 	GinkgoHelper()
 	name := fmt.Sprintf("stock-%d", len(f.hosts)+1)
-	backend, err := standin.NewBackend("i-"+name, "stock", "z1", "127.0.0.1:0")
+	backend, err := standin.NewBackend("i-"+name, "stock", failureDomain, "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Close)
 	text := standin.SidecarSettings{
-		Name: name, FailureDomain: "z1", Service: "stock", Platform: strings.TrimPrefix(f.server.URL, "http://"),
+		Name: name, FailureDomain: failureDomain, Service: "stock", Platform: strings.TrimPrefix(f.server.URL, "http://"),
 		Backend: backend.Address(), Callers: freeAddress(), Nodes: freeAddress(), Datagrams: freeAddress(),
 		Ready: freeAddress(), Upstream: freeAddress(), Metrics: freeAddress(),
 		FirstStart: f.firstStart,
@@ -498,8 +504,8 @@
 	*platform.Client
 }
 
-func (s *unwatchableStore) WatchFor(context.Context, string, platform.Entry, time.Duration) (platform.Entry, error) {
-	return platform.Entry{}, platform.NewError("watch", platform.KindUnavailable, "", nil)
+func (s *unwatchableStore) WatchOperators(context.Context, platform.Operators, time.Duration) (platform.Operators, error) {
+	return platform.Operators{}, platform.NewError("watch", platform.KindUnavailable, "", nil)
 }
 
 func (h *host) revision() string { return fmt.Sprint(h.sidecar.Revision()) }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -140,6 +140,15 @@
 	p.notifyWatches()
 }
 
+// Remove deletes a key, as the operators do.
+func (p *Platform) Remove(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.removeKey(key)
+	p.notifyWatches()
+}
+
 // Value returns the value of a key, or nil if the key does not exist.
 func (p *Platform) Value(key string) []byte {
 	p.mu.Lock()
