route: find the route of a request without a scan of all routes

Cause: NewTable compared each route with all others of its host, and Match tried all prefixes of the host in turn, so that a configuration with 1,400 added routes delayed each request.

Change: a host's routes are found by prefix in a map. Match tries the slashes of the path within the longest prefix, from the last to the first. Regions lists the regions that routes and organisations name.

Run: the specs pass, one of which compares with a scan of all prefixes.

--- a/route/table.go
+++ b/route/table.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"slices"
-	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -76,12 +75,39 @@
 // Table is one revision of the configuration; it is immutable.
 type Table struct {
 	definition Definition
-	hosts      map[string][]*Route
+	hosts      map[string]*hostRoutes
+}
+
+// hostRoutes finds the routes of a host. Its lookup does not depend on their number, so
+// that a configuration may add a thousand while requests pass.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	// longest is the length of the longest prefix in bytes.
+	longest int
+}
+
+func (h *hostRoutes) add(r *Route) {
+	h.byPrefix[r.Prefix] = r
+	h.longest = max(h.longest, len(r.Prefix))
+}
+
+// match returns the route with the longest prefix of path, nil if there is none. All
+// prefixes end with a slash.
+func (h *hostRoutes) match(path string) *Route {
+	for end := min(len(path), h.longest); end > 0; end-- {
+		if path[end-1] != '/' {
+			continue
+		}
+		if r := h.byPrefix[path[:end]]; r != nil {
+			return r
+		}
+	}
+	return nil
 }
 
 // NewTable validates a definition and returns its Table.
 func NewTable(d Definition) (*Table, error) {
-	t := &Table{definition: d, hosts: map[string][]*Route{}}
+	t := &Table{definition: d, hosts: map[string]*hostRoutes{}}
 	for name, service := range d.Services {
 		if !(service.WarmupRate >= 0 && service.WarmupRate <= math.MaxFloat32) || service.WarmupDuration < 0 {
 			return nil, invalid("service %q: the warmup rate or duration is out of range", name)
@@ -94,10 +120,10 @@
 		}
 		r.balancer = newBalancer(r.Targets)
 		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
-	}
-	for _, routes := range t.hosts {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+		if t.hosts[host] == nil {
+			t.hosts[host] = &hostRoutes{byPrefix: map[string]*Route{}}
+		}
+		t.hosts[host].add(r)
 	}
 	return t, nil
 }
@@ -115,10 +141,8 @@
 	if r.Timeout < 0 || r.Objective < 0 || r.MaxAttempts < 0 {
 		return invalid("route %q has a negative timeout, latency objective or number of attempts", r.Name)
 	}
-	for _, other := range t.hosts[strings.ToLower(r.Host)] {
-		if other.Prefix == r.Prefix {
-			return invalid("routes %q and %q have the same host and prefix", other.Name, r.Name)
-		}
+	if h := t.hosts[strings.ToLower(r.Host)]; h != nil && h.byPrefix[r.Prefix] != nil {
+		return invalid("routes %q and %q have the same host and prefix", h.byPrefix[r.Prefix].Name, r.Name)
 	}
 	for _, target := range r.Targets {
 		if _, ok := t.definition.Services[target.Service]; !ok {
@@ -131,6 +155,23 @@
 	return nil
 }
 
+// Regions returns the regions that routes and organisations name, sorted.
+func (t *Table) Regions() []string {
+	named := map[string]bool{}
+	for i := range t.definition.Routes {
+		for _, region := range t.definition.Routes[i].Regions {
+			named[region] = true
+		}
+	}
+	for _, name := range t.definition.Organisations.Names() {
+		o, _ := t.definition.Organisations.Named(name)
+		for _, region := range o.Regions() {
+			named[region] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(named))
+}
+
 // Revision returns the revision of the configuration.
 func (t *Table) Revision() uint64 { return t.definition.Revision }
 
@@ -154,10 +195,8 @@
 
 // Match returns the route for a host and path, nil if there is none.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.hosts[canonicalHost(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
+	if h := t.hosts[canonicalHost(host)]; h != nil {
+		return h.match(path)
 	}
 	return nil
 }
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -1,11 +1,15 @@
 package route_test
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/banyancross/banyancross/organisation"
 	"github.com/banyancross/banyancross/route"
 )
 
@@ -37,6 +41,45 @@
 		Expect(table.Match("other.example", "/pay/1")).To(BeNil())
 	})
 
+	It("matches like a scan of all prefixes, among many", func() {
+		var routes []route.Route
+		for i := range 40 {
+			routes = append(routes, simple(fmt.Sprint("a", i), fmt.Sprintf("/a-%d/", i), "stock"),
+				simple(fmt.Sprint("b", i), fmt.Sprintf("/a-%d/b/", i), "stock"))
+		}
+		routes = append(routes, simple("empty segment", "/a-1//", "stock"))
+		table, err := route.NewTable(definition(slices.Clone(routes)...))
+		Expect(err).NotTo(HaveOccurred())
+		for _, path := range []string{
+			"/a-1/", "/a-1", "/a-1/b", "/a-1/b/", "/a-1/b/c/d", "/a-1//", "/a-1//b/", "/a-11/b/x", "/", "", "*", "//", "/b/a-1/",
+			"/a-1/b" + strings.Repeat("/", 16<<10),
+		} {
+			want, longest := "", 0
+			for _, r := range routes {
+				if strings.HasPrefix(path, r.Prefix) && len(r.Prefix) > longest {
+					want, longest = r.Name, len(r.Prefix)
+				}
+			}
+			got := ""
+			if r := table.Match("shop.example", path); r != nil {
+				got = r.Name
+			}
+			Expect(got).To(Equal(want), path)
+		}
+	})
+
+	It("names the regions of its routes and organisations", func() {
+		abroad, err := organisation.New("abroad", []string{"k"}, organisation.WithRegions("west", "east"))
+		Expect(err).NotTo(HaveOccurred())
+		d := definition(simple("all", "/", "stock"))
+		d.Routes[0].Regions = []string{"north", "east"}
+		d.Organisations, err = organisation.NewDirectory([]*organisation.Organisation{abroad})
+		Expect(err).NotTo(HaveOccurred())
+		table, err := route.NewTable(d)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.Regions()).To(Equal([]string{"east", "north", "west"}))
+	})
+
 	It("matches the weights within a short series", func() {
 		r := simple("split", "/", "stock")
 		r.Targets = []route.WeightedService{{Service: "stock", Weight: 90}, {Service: "pay", Weight: 10}}
@@ -64,3 +107,32 @@
 		Entry("with the host and prefix of another route", func(r *route.Route) { r.Prefix = "/b/" }),
 	)
 })
+
+// manyRoutes returns the routes of a configuration that grew by 1,400.
+func manyRoutes() []route.Route {
+	routes := []route.Route{simple("all", "/", "stock")}
+	for i := range 1400 {
+		routes = append(routes, simple(fmt.Sprint("added-", i), fmt.Sprintf("/added/%d/", i), "stock"))
+	}
+	return routes
+}
+
+func BenchmarkNewTableWithManyRoutes(b *testing.B) {
+	for b.Loop() {
+		if _, err := route.NewTable(definition(manyRoutes()...)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkMatchAmongManyRoutes(b *testing.B) {
+	table, err := route.NewTable(definition(manyRoutes()...))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if table.Match("shop.example", "/view/7/details").Name != "all" {
+			b.Fatal("no match")
+		}
+	}
+}
