egress, admission, call, sidecar, standin: keep the rate of a cold upstream at its gate

Calls to a cold upstream came as fast as its slots took them, so that it crashed. The gate takes a place of the warmup limiter right before each send, also of calls that were queued and of repeats, and gives it back if the upstream did not receive the request (no connection, 421). A call that gets no place within its wait limit is refused at once as warming. Heartbeats and health responses say how long an upstream stays cold; a probe is due once a quarter of the places since the last report are taken, so an idle upstream costs none. The load says cold, with the limit that fits the rate. Without a warmup rate in the service nothing changes.

--- a/admission/pass.go
+++ b/admission/pass.go
@@ -65,6 +65,13 @@
 	g.dispatch(now)
 }
 
+// Restart sets the start of the run, for a call that is sent later than it was granted.
+func (p *Pass) Restart(now time.Time) {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.started = now
+}
+
 // passQueue is a heap ordered by depth, deepest first, then by priority,
 // deadline and arrival.
 type passQueue struct {
--- a/call/call.go
+++ b/call/call.go
@@ -111,4 +111,6 @@
 	Slowdown float32 `cbor:"5,keyasint,omitempty"`
 	// Failing is set if most of the upstream's recent answers were failures.
 	Failing bool `cbor:"6,keyasint,omitempty"`
+	// Cold is set while the upstream tolerates only a low rate of calls.
+	Cold bool `cbor:"9,keyasint,omitempty"`
 }
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -35,6 +35,9 @@
 	if refused == "" {
 		refused = g.decline(now, meta)
 	}
+	if refused == "" {
+		refused = g.refuseWarming(now, t, meta)
+	}
 	if refused != "" {
 		return Refusal(call.NotRun, refused)
 	}
@@ -46,6 +49,15 @@
 		return Refusal(call.NotRun, refusal.Reason())
 	}
 	reason := g.awaitPass(ctx, pass, meta.MaxWait)
+	var place time.Time
+	if reason == "" {
+		granted := g.clock.Now()
+		if place, reason = g.awaitRoom(ctx, meta, now.Add(meta.MaxWait)); reason != "" {
+			pass.End(g.clock.Now(), false)
+		} else if place.After(granted) {
+			pass.Restart(place)
+		}
+	}
 	waited := g.clock.Now().Sub(now)
 	if reason != "" {
 		answer := Refusal(call.NotRun, reason)
@@ -55,9 +67,13 @@
 	// The upstream may have started to drain while the call was queued.
 	if _, refused := g.checkUpstream(meta); refused != "" {
 		pass.End(g.clock.Now(), false)
+		g.returnRoom(place)
 		return Refusal(call.NotRun, refused)
 	}
 	answer := g.run(ctx, t, meta, c, pass, now)
+	if answer.notReceived {
+		g.returnRoom(place)
+	}
 	answer.Meta.QueueTime = waited
 	g.logRun(meta, answer, g.clock.Now().Sub(now))
 	return answer
@@ -172,6 +188,7 @@
 		}
 		refused := Refusal(outcome, reason)
 		refused.Meta.ReachedUpstream = true
+		refused.notReceived = response.Status == http.StatusMisdirectedRequest
 		return refused
 	}
 	g.blocklist.Answered(g.clock.Now(), meta.Fingerprint)
@@ -227,7 +244,7 @@
 	if http1.KindOf(err) == http1.KindNotSent {
 		g.recordDialFailure(t, err)
 		answer := Refusal(call.NotRun, call.ReasonConnection)
-		answer.err = err
+		answer.err, answer.notReceived = err, true
 		return answer
 	}
 	reason := call.ReasonConnection
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -19,6 +19,7 @@
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/quarantine"
 	"github.com/banyancross/banyancross/route"
+	"github.com/banyancross/banyancross/warmup"
 )
 
 const (
@@ -65,6 +66,8 @@
 	// err is why the upstream's response could not be received, nil if that is not
 	// the reason.
 	err error
+	// notReceived means that the upstream itself did not receive the request.
+	notReceived bool
 }
 
 // Refusal returns the answer to an attempt that got no response.
@@ -104,6 +107,7 @@
 	brokenRuns []brokenRun
 	runLog     runLog
 	probes     uint64
+	warmup     warmupState
 }
 
 // Option configures a Gate.
@@ -139,7 +143,7 @@
 		clock: clock.System{}, logger: log.NewNopLogger(), address: address, table: table, notifyPhase: func() {},
 		departed: map[incarnation]struct{}{}, runs: map[string]*Run{},
 		entryNodes: map[string]time.Time{}, runTimes: map[string]*movingMean{}, notifyLoad: func() {}, notifySaturation: func() {}, restored: map[string]SaturationEstimate{},
-		blocklist: quarantine.NewBlocklist(), runLog: newRunLog(),
+		blocklist: quarantine.NewBlocklist(), runLog: newRunLog(), warmup: newWarmupState(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -147,6 +151,7 @@
 	for _, option := range options {
 		option(g)
 	}
+	g.warmup.limiter = warmup.NewLimiter(g.clock.Now())
 	g.tomb.Go(g.probeLoop)
 	return g
 }
@@ -183,6 +188,7 @@
 	load := g.admission.Load(now)
 	load.Slowdown = float32(g.health.slowdownAt(now))
 	load.Failing = g.health.failing(now)
+	g.limitWarmupLoad(now, &load)
 	return load
 }
 
--- a/egress/health.go
+++ b/egress/health.go
@@ -89,11 +89,14 @@
 // probeLoop probes the upstream while it is in use or unconfirmed.
 func (g *Gate) probeLoop() error {
 	interval := idleProbeInterval
+	reportRequested := false
 	for {
 		select {
 		case <-g.tomb.Dying():
 			return nil
 		case <-g.clock.After(interval):
+		case <-g.warmup.probeDue:
+			reportRequested = true
 		}
 		now := g.clock.Now()
 		g.mu.Lock()
@@ -104,12 +107,21 @@
 		recentReport := now.Sub(g.health.reportedAt) < probeSkipAge
 		present := g.upstream.instance != "" && !g.upstream.leaving && !g.upstream.unreachable && !g.stopping
 		unconfirmed := !g.upstream.confirmed
+		warmupGap := g.warmup.probedAt.Add(minProbeGap).Sub(now)
+		bounds := g.warmupBounds(g.upstream.service)
+		reportDue := bounds.Limited() && (inUse || reportRequested) && g.warmup.limiter.ReportDue(now, bounds)
 		g.mu.Unlock()
 		interval = probeInterval
 		if !inUse && !unconfirmed {
 			interval = idleProbeInterval
 		}
-		if present && (unconfirmed || inUse && !recentReport) {
+		if reportDue && warmupGap > 0 {
+			interval = min(interval, warmupGap)
+			reportDue = false
+		} else {
+			reportRequested = false
+		}
+		if present && (unconfirmed || inUse && !recentReport || reportDue) {
 			g.probe()
 		}
 	}
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -84,6 +84,7 @@
 	default:
 		g.replaceUpstream(now, h)
 	}
+	logWarmup := g.recordHeartbeatWarmup(now, h)
 	if h.Draining() {
 		g.recordDeparture(id)
 	}
@@ -93,6 +94,7 @@
 	changed := !sameIncarnation || g.upstream.leaving != previous.leaving || g.upstream.unreachable != previous.unreachable ||
 		g.upstream.confirmed != previous.confirmed
 	g.mu.Unlock()
+	logWarmup()
 	if changed {
 		_ = level.Info(g.logger).Log("event", "upstream", "upstream", h.Instance(), "service", h.Service(),
 			"sequence", h.Sequence(), "draining", h.Draining(), "cold", h.WarmupRemaining())
@@ -128,6 +130,7 @@
 	g.admission = admission.NewGate(h.Slots(), admission.WithMaxUtilization(1))
 	g.pool = http1.NewPool(g.address, g.dial, g.clock, defaultIdleTimeout)
 	g.health = health{}
+	g.warmup.limiter.Reset()
 	g.updateSlotShare()
 }
 
@@ -230,6 +233,8 @@
 	g.mu.Lock()
 	pool, instance, service := g.pool, g.upstream.instance, g.upstream.service
 	g.probes++
+	asked := g.clock.Now()
+	g.warmup.probedAt = asked
 	g.mu.Unlock()
 	table := g.table()
 	if pool == nil || table == nil {
@@ -254,6 +259,7 @@
 	answer := platform.ReadResponseHeaders(response.Status, response.Header)
 	g.recordReport(target{instance: instance, pool: pool}, answer, response.Header)
 	if response.Status == http.StatusOK && answer.Instance() == instance {
+		g.recordProbeWarmup(instance, asked, answer)
 		g.confirm(instance)
 	}
 }
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -25,6 +25,13 @@
 			}
 		}
 		load := s.gate.Load()
+		cold := 0.0
+		if load.Cold {
+			cold = 1
+		}
+		if room, limited := s.gate.WarmupRoom(); limited {
+			s.gauge("upstream_warmup_room", float64(room))
+		}
 		ready := 0.0
 		if s.Ready() {
 			ready = 1
@@ -41,6 +48,7 @@
 			"upstream_limit":         float64(load.Limit),
 			"upstream_slowdown":      float64(load.Slowdown),
 			"upstream_probes":        float64(s.gate.Probes()),
+			"upstream_cold":          cold,
 		} {
 			s.gauge(name, value)
 		}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -47,6 +48,7 @@
 	sequence    uint64
 	state       string
 	slowdown    int
+	warmUntil   time.Time
 	serviceTime time.Duration
 	// hold, unless nil, delays answers until it is closed. release ends a hold that
 	// a control request began.
@@ -101,6 +103,13 @@
 	b.slowdown = slowdown
 }
 
+// SetWarmup makes the Backend report in health responses that it is cold for left.
+func (b *Backend) SetWarmup(left time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.warmUntil = time.Now().Add(left)
+}
+
 // SetServiceTime sets the time that each run takes.
 func (b *Backend) SetServiceTime(serviceTime time.Duration) {
 	b.mu.Lock()
@@ -201,7 +210,7 @@
 // ServeHTTP implements http.Handler.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	state, slowdown, serviceTime, hold := b.state, b.slowdown, b.serviceTime, b.hold
+	state, slowdown, serviceTime, hold, warmUntil := b.state, b.slowdown, b.serviceTime, b.hold, b.warmUntil
 	b.mu.Unlock()
 	w.Header().Set("Load-Report", fmt.Sprintf("1,0,10,%d", slowdown))
 	w.Header().Set("Instance-Id", b.instance)
@@ -209,6 +218,7 @@
 		return
 	}
 	if r.URL.Path == "/healthz" {
+		w.Header().Set("Cold-Ms", strconv.FormatInt(max(0, time.Until(warmUntil).Milliseconds()), 10))
 		if state != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
