quota: one owner per organisation leases tokens to the entry nodes

Each organisation has one owner, the first node by rendezvous hash; its ledger mints the rate, and entry nodes ask it for tokens ahead of demand. Tokens on hand expire after half a second and count against the capacity until then. A new or woken owner starts without the burst, a part of a fleet that is cut mints its part of the rate, and a stand-in mints a part of the tolerance until the owner must know that it is cut off.

--- /dev/null
+++ b/quota/node.go
@@ -0,0 +1,435 @@
+package quota
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The decisions in this file answer callers of an organisation that send more than its
+// quota through any number of nodes: what lies beyond is refused before any work, and
+// what lies below is not.
+
+// Verdict is the decision on a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Admitted means that the request may be sent.
+	Admitted Verdict = iota + 1
+	// Refused means that the request lies beyond the quota.
+	Refused
+	// Waiting means that the request waits for an answer of the owner.
+	Waiting
+)
+
+// Decision is the decision on a request.
+type Decision struct {
+	Verdict Verdict
+	// RetryAfter is the time in which tokens come for what was refused lately.
+	RetryAfter time.Duration
+}
+
+// Outgoing is a message to a node.
+type Outgoing struct {
+	Host    string
+	Message Message
+}
+
+const (
+	// forgetAfter is the time without a request after which an account or a ledger is
+	// dropped; it exceeds any window.
+	forgetAfter = 30 * time.Second
+	// upkeepInterval is the pause between upkeeps: after a change of the view, a ledger mints
+	// as before for at most as long.
+	upkeepInterval = 100 * time.Millisecond
+	// maxAskAge is the time after which an ask is no longer answered: its tokens would have
+	// expired.
+	maxAskAge = maxLifetime
+)
+
+// Node decides on the requests that enter at a node, and holds the ledgers of the
+// organisations that the node owns; it is safe for concurrent use.
+type Node struct {
+	bounds      Bounds
+	incarnation int64
+
+	mu       sync.Mutex
+	members  *members
+	limits   map[uint64]Limit
+	names    map[uint64]string
+	accounts map[uint64]*account
+	ledgers  map[uint64]*ledger
+	// due holds the accounts that need tokens.
+	due []*account
+	// asks holds the unanswered asks by ID.
+	asks   map[uint64]ask
+	lastID uint64
+	// askers holds the ID of the latest ask of each node.
+	askers map[string]asker
+	// latest is when the node was last driven, and kept when it last did its upkeep.
+	latest, kept time.Time
+}
+
+// ask is an unanswered ask.
+type ask struct {
+	host string
+	sent time.Time
+}
+
+// asker is the latest ask of another node.
+type asker struct {
+	incarnation int64
+	id          uint64
+}
+
+// NewNode returns the Node of a process that starts; incarnation differs from that of
+// earlier processes of the host.
+func NewNode(host string, incarnation int64, bounds Bounds) *Node {
+	return &Node{
+		bounds: bounds, incarnation: incarnation, members: newMembers(host), limits: map[uint64]Limit{}, names: map[uint64]string{},
+		accounts: map[uint64]*account{}, ledgers: map[uint64]*ledger{}, asks: map[uint64]ask{}, askers: map[string]asker{},
+	}
+}
+
+// SetMembers sets the other nodes of the fleet; settle is the time after which a node that
+// is cut off has noticed that it is.
+func (n *Node) SetMembers(list []Member, settle time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.update(list, settle)
+	for host := range n.askers {
+		if n.members.contacts[host] == nil {
+			delete(n.askers, host)
+		}
+	}
+}
+
+// SetLimits sets the limits by the name of the organisation. Tokens on hand of those whose
+// limit became lower are given up.
+func (n *Node) SetLimits(limits map[string]Limit) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limits, n.names = make(map[uint64]Limit, len(limits)), make(map[uint64]string, len(limits))
+	for name, limit := range limits {
+		if limit.Rate > 0 {
+			key := Key(name)
+			n.limits[key], n.names[key] = limit, name
+		}
+	}
+	for key, a := range n.accounts {
+		limit, ok := n.limits[key]
+		if !ok {
+			delete(n.accounts, key)
+			continue
+		}
+		if limit.Rate < a.limit.Rate || limit.Burst < a.limit.Burst {
+			a.drop()
+		}
+		a.limit = limit
+	}
+	for key := range n.ledgers {
+		if _, ok := n.limits[key]; !ok {
+			delete(n.ledgers, key)
+		}
+	}
+}
+
+// Take decides on a request of an organisation. A request that waits is decided by Retry
+// after each answer, or by GiveUp.
+func (n *Node) Take(now time.Time, organisation string) Decision {
+	key := Key(organisation)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	limit, ok := n.limits[key]
+	if !ok {
+		return Decision{Verdict: Admitted}
+	}
+	n.advance(now)
+	a := n.accounts[key]
+	if a == nil {
+		a = &account{key: key, limit: limit, updated: now}
+		n.accounts[key] = a
+	}
+	a.decay(now)
+	a.demand += 1 / demandSpan.Seconds()
+	a.usage.Asked++
+	if a.spend(now) {
+		if a.want(n.bounds.lifetime(limit)) > 0 && !now.Before(a.refusedUntil) {
+			n.markDue(a)
+		}
+		return Decision{Verdict: Admitted}
+	}
+	if now.Before(a.refusedUntil) {
+		return n.refuse(a)
+	}
+	a.waiting++
+	if n.members.owner(now, key) == n.members.self {
+		n.askSelf(now, a)
+		return n.decide(now, a)
+	}
+	n.markDue(a)
+	return Decision{Verdict: Waiting}
+}
+
+// Retry decides on a request that waits.
+func (n *Node) Retry(now time.Time, organisation string) Decision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.accounts[Key(organisation)]
+	if a == nil {
+		// The organisation left the configuration or has no limit any more.
+		return Decision{Verdict: Admitted}
+	}
+	a.decay(now)
+	return n.decide(now, a)
+}
+
+// GiveUp refuses a request that waits no longer.
+func (n *Node) GiveUp(now time.Time, organisation string) Decision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.accounts[Key(organisation)]
+	if a == nil {
+		return Decision{Verdict: Admitted}
+	}
+	a.decay(now)
+	if d := n.decide(now, a); d.Verdict != Waiting {
+		return d
+	}
+	a.waiting--
+	return n.refuse(a)
+}
+
+// Refund gives back the token of a request that no upstream ran.
+func (n *Node) Refund(organisation string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if a := n.accounts[Key(organisation)]; a != nil {
+		a.returned++
+	}
+}
+
+// decide decides on one of the waiting requests of an account; n.mu is held.
+func (n *Node) decide(now time.Time, a *account) Decision {
+	if a.spend(now) {
+		a.waiting--
+		return Decision{Verdict: Admitted}
+	}
+	if now.Before(a.refusedUntil) {
+		a.waiting--
+		return n.refuse(a)
+	}
+	return Decision{Verdict: Waiting}
+}
+
+// refuse returns the decision to refuse a request; n.mu is held.
+func (n *Node) refuse(a *account) Decision {
+	a.usage.Refused++
+	return Decision{Verdict: Refused, RetryAfter: a.retryAfter(n.members.known, n.bounds.Window)}
+}
+
+// markDue adds an account to those that need tokens; n.mu is held.
+func (n *Node) markDue(a *account) {
+	if !a.due {
+		a.due = true
+		n.due = append(n.due, a)
+	}
+}
+
+// advance empties the ledgers if the process was paused for so long that another node may
+// have minted in its place; n.mu is held.
+func (n *Node) advance(now time.Time) {
+	if !n.latest.IsZero() && now.Sub(n.latest) >= n.members.settle {
+		for _, l := range n.ledgers {
+			l.empty(now)
+		}
+	}
+	if now.After(n.latest) {
+		n.latest = now
+	}
+}
+
+// grant takes at most want tokens from the ledger of an organisation, after returned ones
+// were given back; n.mu is held.
+func (n *Node) grant(now time.Time, key uint64, limit Limit, want, returned int) (tokens int, lifetime time.Duration) {
+	l := n.ledgers[key]
+	if l == nil {
+		l = newLedger(now, n.bounds.start(limit))
+		n.ledgers[key] = l
+	}
+	l.used = now
+	l.giveBack(returned)
+	n.mint(now, key, limit, l)
+	lifetime = n.bounds.lifetime(limit)
+	return l.take(want, now.Add(lifetime)), lifetime
+}
+
+// mint brings a ledger up to now; n.mu is held.
+func (n *Node) mint(now time.Time, key uint64, limit Limit, l *ledger) {
+	if n.members.owns(now, key) {
+		l.mint(now, limit.Rate*n.members.share(), n.bounds.capacity(limit))
+		return
+	}
+	rate := n.bounds.standInRate(limit)
+	l.mint(now, rate, max(1, rate))
+}
+
+// askSelf grants an account what it wants from this node's own ledger; n.mu is held.
+func (n *Node) askSelf(now time.Time, a *account) {
+	want := a.want(n.bounds.lifetime(a.limit))
+	tokens, lifetime := n.grant(now, a.key, a.limit, want, a.returned)
+	a.returned = 0
+	n.credit(now, a, n.members.self.Host, want, grant{tokens: tokens, expires: now.Add(lifetime)})
+}
+
+// credit adds the tokens that an owner granted of those wanted; n.mu is held.
+func (n *Node) credit(now time.Time, a *account, owner string, want int, g grant) {
+	a.askedAt, a.answered, a.owner = time.Time{}, now, owner
+	a.credit(now, g)
+	if g.tokens < want {
+		a.refusedUntil = now.Add(refusedPause)
+	}
+}
+
+// Poll returns the messages to send now.
+func (n *Node) Poll(now time.Time) []Outgoing {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	entries := map[string][]Entry{}
+	due := n.due[:0]
+	for _, a := range n.due {
+		a.expire(now)
+		want := a.want(n.bounds.lifetime(a.limit))
+		if want == 0 || n.accounts[a.key] != a || now.Before(a.refusedUntil) {
+			a.due = false
+			continue
+		}
+		due = append(due, a)
+		if !a.askedAt.IsZero() && now.Sub(a.askedAt) < resendAfter {
+			continue
+		}
+		owner := n.members.owner(now, a.key)
+		if owner == n.members.self {
+			n.askSelf(now, a)
+			continue
+		}
+		a.askedAt = now
+		entries[owner.Host] = append(entries[owner.Host], Entry{Key: a.key, Tokens: uint32(min(want, maxTokens)), Returned: uint32(min(a.returned, maxTokens))})
+		a.returned = 0
+	}
+	clear(n.due[len(due):])
+	n.due = due
+	var out []Outgoing
+	for host, list := range entries {
+		for chunk := range slices.Chunk(list, maxEntries) {
+			out = append(out, n.message(now, host, chunk))
+		}
+	}
+	slices.SortFunc(out, func(a, b Outgoing) int { return strings.Compare(a.Host, b.Host) })
+	return out
+}
+
+// message returns an ask; n.mu is held.
+func (n *Node) message(now time.Time, host string, entries []Entry) Outgoing {
+	n.lastID++
+	n.asks[n.lastID] = ask{host: host, sent: now}
+	if c := n.members.contacts[host]; c != nil {
+		c.sent(now)
+	}
+	return Outgoing{Host: host, Message: Message{Host: n.members.self.Host, Incarnation: n.incarnation, ID: n.lastID, Entries: entries}}
+}
+
+// Tick does what is due at intervals of a few tens of milliseconds, and returns the
+// messages to send, like Poll.
+func (n *Node) Tick(now time.Time) []Outgoing {
+	n.mu.Lock()
+	n.advance(now)
+	var probes []Outgoing
+	if now.Sub(n.kept) >= upkeepInterval {
+		n.kept = now
+		probes = n.upkeep(now)
+	}
+	n.mu.Unlock()
+	return append(probes, n.Poll(now)...)
+}
+
+// upkeep mints what ledgers earned while their node had its present part, forgets what is
+// unused, and returns the probes of nodes that did not answer; n.mu is held.
+func (n *Node) upkeep(now time.Time) []Outgoing {
+	for key, l := range n.ledgers {
+		if now.Sub(l.used) > forgetAfter {
+			delete(n.ledgers, key)
+			continue
+		}
+		n.mint(now, key, n.limits[key], l)
+	}
+	for key, a := range n.accounts {
+		if a.waiting == 0 && now.Sub(a.updated) > forgetAfter {
+			delete(n.accounts, key)
+		}
+	}
+	for id, sent := range n.asks {
+		if now.Sub(sent.sent) > maxAskAge {
+			delete(n.asks, id)
+		}
+	}
+	var probes []Outgoing
+	for _, c := range n.members.others {
+		if c.unresponsive(now) && !c.Silent && !c.Stopping && now.Sub(c.probed) >= probeInterval {
+			probes = append(probes, n.message(now, c.Host, nil))
+		}
+	}
+	return probes
+}
+
+// Handle processes a message of another node and returns the reply to send, if there is
+// one.
+func (n *Node) Handle(now time.Time, m Message) (Message, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.advance(now)
+	c := n.members.contacts[m.Host]
+	if c == nil {
+		return Message{}, false
+	}
+	c.unanswered = 0
+	if m.Answer {
+		n.handleAnswer(now, m)
+		return Message{}, false
+	}
+	latest := n.askers[m.Host]
+	if latest.incarnation == m.Incarnation && m.ID <= latest.id {
+		return Message{}, false
+	}
+	n.askers[m.Host] = asker{incarnation: m.Incarnation, id: m.ID}
+	reply := Message{Host: n.members.self.Host, Incarnation: n.incarnation, ID: m.ID, Answer: true}
+	for _, e := range m.Entries {
+		limit, ok := n.limits[e.Key]
+		if !ok {
+			continue
+		}
+		tokens, lifetime := n.grant(now, e.Key, limit, int(min(e.Tokens, maxTokens)), int(min(e.Returned, maxTokens)))
+		reply.Entries = append(reply.Entries, Entry{
+			Key: e.Key, Tokens: uint32(tokens), Returned: e.Tokens, LifetimeMs: uint32(lifetime.Milliseconds()),
+		})
+	}
+	return reply, true
+}
+
+// handleAnswer credits the tokens of an answer, unless it came before or too late; n.mu is
+// held.
+func (n *Node) handleAnswer(now time.Time, m Message) {
+	sent, ok := n.asks[m.ID]
+	if !ok || sent.host != m.Host {
+		return
+	}
+	delete(n.asks, m.ID)
+	for _, e := range m.Entries {
+		if a := n.accounts[e.Key]; a != nil {
+			expires := sent.sent.Add(min(time.Duration(e.LifetimeMs)*time.Millisecond, maxLifetime))
+			n.credit(now, a, m.Host, int(e.Returned), grant{tokens: int(e.Tokens), expires: expires})
+		}
+	}
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,299 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/quota"
+)
+
+func TestQuota(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quota")
+}
+
+const (
+	// calmRefusals and cutRefusals are the stated shares of what is owed that may be refused.
+	calmRefusals = 0.01
+	cutRefusals  = 0.05
+	seed         = 37
+)
+
+var _ = Describe("a fleet with quotas", func() {
+	var s *simulation
+	report := func(what string) {
+		asked := 0
+		for _, o := range s.orgs {
+			asked += o.asked
+		}
+		GinkgoWriter.Printf("%s: refused %.4f, excess %.1f, messages a request %.2f\n", what, s.refusedShare(), s.worstExcess(), float64(s.messages)/float64(asked))
+	}
+	BeforeEach(func() { s = newSimulation(seed) })
+
+	It("refuses next to nothing in calm", func() {
+		s.run(5*time.Second, nil)
+		s.reset()
+		s.run(20*time.Second, nil)
+		report("calm")
+		Expect(s.refusedShare()).To(BeNumerically("<", calmRefusals))
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
+	It("serves callers that sit on a few hosts and move", func() {
+		s.run(20*time.Second, func() {
+			if s.due(5 * time.Second) {
+				for _, o := range s.orgs[10:] {
+					o.homes = []int{s.rng.IntN(80), s.rng.IntN(80)}
+				}
+			}
+		})
+		report("moving callers")
+		Expect(s.refusedShare()).To(BeNumerically("<", calmRefusals))
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
+	DescribeTable("bounds organisations that send many times their usual",
+		func(hot ...int) {
+			s.run(10*time.Second, nil)
+			s.reset()
+			for _, i := range hot {
+				s.orgs[i].factor = 7
+			}
+			s.run(10*time.Second, nil)
+			report("hot")
+			Expect(s.refusedShare()).To(BeNumerically("<", calmRefusals))
+			Expect(s.worstExcess()).To(BeZero())
+			for _, i := range hot {
+				o := s.orgs[i]
+				Expect(float64(o.asked-o.refused)).To(BeNumerically(">", 0.9*10*o.limit.Rate), o.name)
+			}
+		},
+		Entry("the greatest", 0), Entry("a middle one", 20), Entry("the smallest", 81), Entry("three at once", 0, 3, 30),
+	)
+
+	It("keeps the bound while half of the hosts are killed and forget", func() {
+		s.run(10*time.Second, nil)
+		for _, i := range []int{0, 2, 9} {
+			s.orgs[i].factor = 7
+		}
+		s.run(2*time.Second, nil)
+		for i, h := range s.hosts {
+			if i%2 == 0 {
+				s.kill(h, 1500*time.Millisecond)
+			}
+		}
+		s.run(15*time.Second, nil)
+		report("half killed")
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
+	DescribeTable("keeps the bound without the owner of a hot organisation",
+		func(fault func(owner *simHost)) {
+			s.run(10*time.Second, nil)
+			s.orgs[0].factor = 7
+			s.run(3*time.Second, nil)
+			owner := s.ownerOf(s.orgs[0])
+			Expect(owner).NotTo(BeNil())
+			fault(owner)
+			s.run(13*time.Second, nil)
+			report("owner lost")
+			Expect(s.worstExcess()).To(BeZero())
+		},
+		Entry("killed", func(owner *simHost) { s.kill(owner, 10*time.Second) }),
+		Entry("killed for a moment", func(owner *simHost) { s.kill(owner, 500*time.Millisecond) }),
+		Entry("frozen, and woken with old counts", func(owner *simHost) { owner.frozenUntil = s.now.Add(8 * time.Second) }),
+		Entry("frozen for a moment", func(owner *simHost) { owner.frozenUntil = s.now.Add(2 * time.Second) }),
+		Entry("unheard", func(owner *simHost) { s.reaches = func(from, _ int) bool { return from != owner.index } }),
+		Entry("deaf", func(owner *simHost) { s.reaches = func(_, to int) bool { return to != owner.index } }),
+		Entry("heard by half of the hosts", func(owner *simHost) {
+			s.reaches = func(from, to int) bool { return from != owner.index || to%3 != 0 }
+		}),
+	)
+
+	It("keeps the bound and serves while a third of the hosts is cut off", func() {
+		s.run(10*time.Second, nil)
+		s.reset()
+		s.reaches = func(from, to int) bool { return from%3 == 0 == (to%3 == 0) }
+		s.run(30*time.Second, nil)
+		s.reaches = func(int, int) bool { return true }
+		s.run(10*time.Second, nil)
+		report("a third cut off")
+		Expect(s.refusedShare()).To(BeNumerically("<", cutRefusals))
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
+	It("keeps the bound of hot organisations while a third of the hosts is cut off", func() {
+		for _, i := range []int{0, 3, 30} {
+			s.orgs[i].factor = 7
+		}
+		s.run(10*time.Second, nil)
+		s.reaches = func(from, to int) bool { return from%3 == 0 == (to%3 == 0) }
+		s.run(20*time.Second, nil)
+		s.reaches = func(int, int) bool { return true }
+		s.run(10*time.Second, nil)
+		report("hot, a third cut off")
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
+	It("serves while a tenth of the datagrams is lost", func() {
+		s.loss = 0.1
+		s.run(15*time.Second, nil)
+		report("lossy")
+		Expect(s.refusedShare()).To(BeNumerically("<", cutRefusals))
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
+	It("binds a limit that is cut to a tenth after one window", func() {
+		o := s.orgs[0]
+		s.run(10*time.Second, nil)
+		cut := s.now
+		o.limit = quota.Limit{Rate: o.limit.Rate / 10, Burst: o.limit.Burst / 10}
+		for _, h := range s.hosts {
+			s.setLimits(h)
+		}
+		o.factor = 5
+		s.run(15*time.Second, nil)
+		Expect(s.excess(o, cut)).To(BeZero())
+	})
+})
+
+var _ = Describe("Node", func() {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	bounds := quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	limits := map[string]quota.Limit{"shop": {Rate: 10, Burst: 10}, "farm": {}}
+	node := func(host string, others ...string) *quota.Node {
+		n := quota.NewNode(host, 1, bounds)
+		n.SetLimits(limits)
+		var list []quota.Member
+		for _, other := range others {
+			list = append(list, quota.Member{Host: other, Heard: now})
+		}
+		n.SetMembers(list, time.Second)
+		return n
+	}
+	// pair returns a node and the owner of the organisation.
+	pair := func() (entry, owner *quota.Node) {
+		a, b := node("a", "b"), node("b", "a")
+		if a.Take(now, "shop").Verdict == quota.Waiting {
+			return a, b
+		}
+		entry = node("b", "a")
+		Expect(entry.Take(now, "shop").Verdict).To(Equal(quota.Waiting))
+		return entry, node("a", "b")
+	}
+
+	It("sends and holds nothing for organisations without a limit", func() {
+		n := node("a", "b")
+		Expect(n.Take(now, "farm").Verdict).To(Equal(quota.Admitted))
+		Expect(n.Take(now, "unknown").Verdict).To(Equal(quota.Admitted))
+		Expect(n.Poll(now)).To(BeEmpty())
+		Expect(n.Tick(now)).To(BeEmpty())
+		Expect(n.Idle()).To(BeTrue())
+	})
+
+	It("counts a grant once that comes twice, and none that comes late", func() {
+		entry, owner := pair()
+		out := entry.Poll(now)
+		Expect(out).To(HaveLen(1))
+		answer, ok := owner.Handle(now, out[0].Message)
+		Expect(ok).To(BeTrue())
+		_, ok = owner.Handle(now, out[0].Message)
+		Expect(ok).To(BeFalse(), "the ask came twice")
+		entry.Handle(now, answer)
+		entry.Handle(now, answer)
+		Expect(entry.Retry(now, "shop").Verdict).To(Equal(quota.Admitted))
+		Expect(entry.Take(now, "shop").Verdict).To(Equal(quota.Waiting))
+		late := entry.Poll(now)
+		answer, _ = owner.Handle(now, late[0].Message)
+		entry.Handle(now.Add(time.Second), answer)
+		Expect(entry.Retry(now.Add(time.Second), "shop").Verdict).To(Equal(quota.Waiting))
+	})
+
+	It("refuses at once after the owner had too little, and says when tokens come", func() {
+		entry, owner := pair()
+		for range 100 {
+			entry.Take(now, "shop")
+		}
+		answer, _ := owner.Handle(now, entry.Poll(now)[0].Message)
+		entry.Handle(now, answer)
+		admitted := 0
+		for range 101 {
+			if entry.Retry(now, "shop").Verdict == quota.Admitted {
+				admitted++
+			}
+		}
+		Expect(admitted).To(BeNumerically("<", 20))
+		d := entry.Take(now, "shop")
+		Expect(d.Verdict).To(Equal(quota.Refused))
+		Expect(d.RetryAfter).To(BeNumerically(">", time.Second))
+		Expect(d.RetryAfter).To(BeNumerically("<=", bounds.Window))
+		Expect(entry.Poll(now)).To(BeEmpty())
+	})
+
+	It("gives the token of a request back that no upstream ran", func() {
+		entry, owner := pair()
+		answer, _ := owner.Handle(now, entry.Poll(now)[0].Message)
+		entry.Handle(now, answer)
+		Expect(entry.Retry(now, "shop").Verdict).To(Equal(quota.Admitted))
+		entry.Refund("shop")
+		Expect(entry.Take(now, "shop").Verdict).To(Equal(quota.Waiting))
+		Expect(entry.Poll(now)[0].Message.Entries[0].Returned).To(BeNumerically("==", 1))
+	})
+
+	It("admits the requests that wait when their organisation loses its limit", func() {
+		entry, _ := pair()
+		entry.SetLimits(nil)
+		Expect(entry.Retry(now, "shop").Verdict).To(Equal(quota.Admitted))
+		Expect(entry.Idle()).To(BeTrue())
+	})
+
+	DescribeTable("rejects a malformed message",
+		func(data []byte) {
+			_, err := quota.Decode(data)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("empty", []byte{}), Entry("a beacon", []byte{0xa1, 1, 2}), Entry("cut", []byte{0xc6, 0x85, 0x61}),
+		Entry("no host", encoded(quota.Message{})),
+		Entry("too many tokens", encoded(quota.Message{Host: "a", Entries: []quota.Entry{{Tokens: 1 << 31}}})),
+	)
+
+	It("encodes and decodes a message", func() {
+		m := quota.Message{Host: "a", Incarnation: 7, ID: 9, Entries: []quota.Entry{{Key: quota.Key("shop"), Tokens: 3, Returned: 1}}}
+		data := encoded(m)
+		Expect(quota.IsMessage(data)).To(BeTrue())
+		Expect(quota.Decode(data)).To(Equal(m))
+	})
+})
+
+func encoded(m quota.Message) []byte {
+	data, err := m.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func BenchmarkTake(b *testing.B) {
+	n := quota.NewNode("a", 1, quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
+	limits, names := map[string]quota.Limit{}, make([]string, 10_000)
+	for i := range names {
+		names[i] = fmt.Sprintf("org-%d", i)
+		limits[names[i]] = quota.Limit{Rate: 1e6, Burst: 1e6}
+	}
+	n.SetLimits(limits)
+	var list []quota.Member
+	for i := range 79 {
+		list = append(list, quota.Member{Host: fmt.Sprintf("host-%d", i)})
+	}
+	n.SetMembers(list, time.Second)
+	now := time.Now()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		n.Take(now, names[i%len(names)])
+		n.GiveUp(now, names[i%len(names)])
+	}
+}
