ingress: answer 429 beyond a quota, before any work

Requests of callers whose organisation has a limited quota take one token, whatever retries and hedges follow; nested calls belong to a request that was admitted. Without a token the answer is 429 at once, and Retry-After spreads returns over the time in which tokens come.

After: go test ./ingress passes.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -101,6 +101,7 @@
 	transferUnit  int64
 	suspected     func(host string)
 	regionOf      func(failureDomain string) string
+	quota         Quota
 	// stop is set once the process stops.
 	stop atomic.Pointer[stopTimes]
 
@@ -268,7 +269,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	s.deliver(ctx, s.exchange(ctx))
+	if !s.withinQuota(ctx) {
+		return
+	}
+	answer := s.exchange(ctx)
+	s.refundQuota()
+	s.deliver(ctx, answer)
 }
 
 // stopTimes are the times from which requests may be too late, and at which the process
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -21,6 +21,7 @@
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/ingress"
+	"github.com/banyancross/banyancross/organisation"
 	"github.com/banyancross/banyancross/route"
 )
 
@@ -94,6 +95,9 @@
 	uptime time.Duration
 	// calledService is a service that no route leads to, "" for none.
 	calledService string
+	// organisations are those whose callers need a key, nil for none.
+	organisations *organisation.Directory
+	quota         ingress.Quota
 }
 
 // start serves an Ingress whose attempts are answered by do, and returns its
@@ -105,7 +109,7 @@
 		services[s.calledService] = route.Service{}
 	}
 	table, err := route.NewTable(route.Definition{
-		Revision: 1, Services: services,
+		Revision: 1, Services: services, Organisations: s.organisations,
 		Routes: []route.Route{{
 			Name: "r", Host: "x", Prefix: "/", Idempotent: s.idempotent, Timeout: s.timeout, LongResponses: s.longResponses,
 			Objective: cmp.Or(s.objective, time.Minute), MaxAttempts: s.attempts, Targets: []route.WeightedService{{Service: "stock", Weight: 1}},
@@ -131,7 +135,7 @@
 	}
 	sender := &fakeSender{do: do}
 	in := ingress.New("z1", func() *route.Table { return table }, func() string { return "stock" }, view, sender,
-		ingress.WithRetryBudget(s.budget), ingress.WithStart(time.Now().Add(-cmp.Or(s.uptime, time.Minute))), ingress.WithSeed(1))
+		ingress.WithRetryBudget(s.budget), ingress.WithQuota(s.quota), ingress.WithStart(time.Now().Add(-cmp.Or(s.uptime, time.Minute))), ingress.WithSeed(1))
 	in.SetMeanSize("r", s.meanResponseBytes)
 	for _, b := range beacons {
 		if len(s.loads) > 0 {
--- /dev/null
+++ b/ingress/quota.go
@@ -0,0 +1,59 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/platform"
+)
+
+// The decisions in this file answer organisations whose callers send more than their
+// quota: what lies beyond is answered before any work.
+
+// Quota decides which requests are within the quotas of their organisations.
+type Quota interface {
+	// Admit takes a token for a request. If it returns false, tokens for what was refused
+	// lately come within the returned time.
+	Admit(ctx context.Context, organisation string) (time.Duration, bool)
+	// Refund gives back the token of a request that no upstream ran.
+	Refund(organisation string)
+}
+
+// WithQuota sets the quotas that all nodes share.
+func WithQuota(q Quota) Option { return func(in *Ingress) { in.quota = q } }
+
+// limited reports whether the request counts for a quota. Nested calls belong to a request
+// that was admitted.
+func (s *session) limited() bool {
+	return s.in.quota != nil && s.depth == 0 && s.organisation != nil && s.organisation.Quota().Limited()
+}
+
+// withinQuota takes a token for the request. It answers the request and returns false if
+// there is none.
+func (s *session) withinQuota(ctx context.Context) bool {
+	if !s.limited() {
+		return true
+	}
+	wait, ok := s.in.quota.Admit(ctx, s.organisation.Name())
+	switch {
+	case ok:
+		return true
+	case ctx.Err() != nil:
+		s.recordEnd(0, call.NotRun, call.ReasonCancelled)
+		s.reply.Abort()
+	default:
+		header := http.Header{}
+		platform.SetRetryAfter(header, s.in.jittered(minRetryAfter, max(wait, retryAfterSpread)))
+		s.answer(http.StatusTooManyRequests, call.NotRun, call.ReasonQuota, header)
+	}
+	return false
+}
+
+// refundQuota gives the token of the request back if no upstream ran the request.
+func (s *session) refundQuota() {
+	if s.limited() && s.attempts == 0 && !s.outcomeUnknown {
+		s.in.quota.Refund(s.organisation.Name())
+	}
+}
