sidecar: quotas over the gossip socket

Asks for tokens and the answers are datagrams of a kind of their own, a tagged CBOR array, with the organisations of one owner in one datagram; no call to the store. A request without a token on hand waits at most 60 ms for the owner's answer. The loop runs only while there are accounts or ledgers: a fleet without quotas sends and holds nothing. A line once a second for each organisation that was cut off, gauges for the first 20 organisations and the rest.

--- a/quota/account.go
+++ b/quota/account.go
@@ -44,11 +44,18 @@
 	usage Usage
 }
 
-// Usage counts what an organisation asked of this node since the process started.
+// Usage counts the requests of an organisation at a node.
 type Usage struct {
 	Asked, Admitted, Refused uint64
 }
 
+// Add adds other counts.
+func (u *Usage) Add(other Usage) {
+	u.Asked += other.Asked
+	u.Admitted += other.Admitted
+	u.Refused += other.Refused
+}
+
 // expire drops the tokens that may no longer be spent; they are given back.
 func (a *account) expire(now time.Time) {
 	for len(a.onHand) > 0 && !now.Before(a.onHand[0].expires) {
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -10,8 +10,8 @@
 // A Node holds both sides:
 //
 //	n := quota.NewNode("host-1", incarnation, bounds)
-//	n.SetLimits(now, limits)
-//	n.SetMembers(now, members, settle)
+//	n.SetLimits(limits)
+//	n.SetMembers(members, settle, joined)
 //	switch d := n.Take(now, "shop"); d.Verdict { ... }
 //	for _, out := range n.Poll(now) { ... }       // send each message
 //	reply, ok := n.Handle(now, message)           // send the reply to its sender
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -180,7 +180,7 @@
 			}
 			list = append(list, quota.Member{Host: other.name, Silent: s.now.Sub(h.heard[j]) > timeout, Heard: h.heard[j]})
 		}
-		h.node.SetMembers(list, simSettle)
+		h.node.SetMembers(list, simSettle, true)
 	}
 }
 
@@ -325,7 +325,7 @@
 // ownerOf returns the host whose ledger grants an organisation's tokens, by its reports.
 func (s *simulation) ownerOf(o *simOrg) *simHost {
 	for _, h := range s.hosts {
-		for _, r := range h.node.Reports(s.now) {
+		for _, r := range h.node.TakeReports(s.now) {
 			if r.Organisation == o.name && r.Owner != "" && r.Owner != h.name {
 				var owner int
 				_, _ = fmt.Sscanf(r.Owner, "host-%d", &owner)
--- a/quota/node.go
+++ b/quota/node.go
@@ -57,6 +57,7 @@
 
 	mu       sync.Mutex
 	members  *members
+	joined   bool
 	limits   map[uint64]Limit
 	names    map[uint64]string
 	accounts map[uint64]*account
@@ -94,11 +95,14 @@
 }
 
 // SetMembers sets the other nodes of the fleet; settle is the time after which a node that
-// is cut off has noticed that it is.
-func (n *Node) SetMembers(list []Member, settle time.Duration) {
+// is cut off has noticed that it is. joined means that the list is complete: until then
+// this node may take itself for the owner of an organisation because it does not know the
+// real one, and grants itself nothing.
+func (n *Node) SetMembers(list []Member, settle time.Duration, joined bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members.update(list, settle)
+	n.joined = joined
 	for host := range n.askers {
 		if n.members.contacts[host] == nil {
 			delete(n.askers, host)
@@ -165,7 +169,7 @@
 		return n.refuse(a)
 	}
 	a.waiting++
-	if n.members.owner(now, key) == n.members.self {
+	if n.joined && n.members.owner(now, key) == n.members.self {
 		n.askSelf(now, a)
 		return n.decide(now, a)
 	}
@@ -312,7 +316,9 @@
 		}
 		owner := n.members.owner(now, a.key)
 		if owner == n.members.self {
-			n.askSelf(now, a)
+			if n.joined {
+				n.askSelf(now, a)
+			}
 			continue
 		}
 		a.askedAt = now
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -172,7 +172,7 @@
 		for _, other := range others {
 			list = append(list, quota.Member{Host: other, Heard: now})
 		}
-		n.SetMembers(list, time.Second)
+		n.SetMembers(list, time.Second, true)
 		return n
 	}
 	// pair returns a node and the owner of the organisation.
@@ -244,6 +244,18 @@
 		Expect(entry.Poll(now)[0].Message.Entries[0].Returned).To(BeNumerically("==", 1))
 	})
 
+	It("grants itself nothing before it knows the fleet", func() {
+		n := quota.NewNode("a", 1, bounds)
+		n.SetLimits(limits)
+		n.SetMembers(nil, time.Second, false)
+		Expect(n.Take(now, "shop").Verdict).To(Equal(quota.Waiting))
+		Expect(n.Poll(now)).To(BeEmpty())
+		Expect(n.Retry(now, "shop").Verdict).To(Equal(quota.Waiting))
+		n.SetMembers(nil, time.Second, true)
+		Expect(n.Poll(now)).To(BeEmpty())
+		Expect(n.Retry(now, "shop").Verdict).To(Equal(quota.Admitted))
+	})
+
 	It("admits the requests that wait when their organisation loses its limit", func() {
 		entry, _ := pair()
 		entry.SetLimits(nil)
@@ -289,8 +301,8 @@
 	for i := range 79 {
 		list = append(list, quota.Member{Host: fmt.Sprintf("host-%d", i)})
 	}
-	n.SetMembers(list, time.Second)
-	now := time.Now()
+	n.SetMembers(list, time.Second, true)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		n.Take(now, names[i%len(names)])
--- a/quota/report.go
+++ b/quota/report.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Report describes the use of an organisation's quota at a node.
+// Report describes the use of an organisation's quota at a node since the latest report.
 type Report struct {
 	Organisation string
 	Limit        Limit
@@ -19,16 +19,20 @@
 	Age   time.Duration
 }
 
-// Reports returns the use by organisation, the greatest first.
-func (n *Node) Reports(now time.Time) []Report {
+// TakeReports returns the use by organisation since the latest call, the greatest first.
+func (n *Node) TakeReports(now time.Time) []Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	reports := make([]Report, 0, len(n.accounts))
 	for key, a := range n.accounts {
+		if a.usage == (Usage{}) {
+			continue
+		}
 		r := Report{Organisation: n.names[key], Limit: a.limit, Usage: a.usage, Tokens: a.tokens(), Owner: a.owner}
 		if a.owner != "" {
 			r.Age = now.Sub(a.answered)
 		}
+		a.usage = Usage{}
 		reports = append(reports, r)
 	}
 	slices.SortFunc(reports, func(a, b Report) int {
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/quota"
 )
 
 const (
@@ -293,6 +294,10 @@
 			s.handleNotice(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), buffer[:n])
 			continue
 		}
+		if quota.IsMessage(buffer[:n]) {
+			s.quotas.handle(buffer[:n])
+			continue
+		}
 		b, err := fleet.Decode(buffer[:n])
 		if err != nil {
 			_ = level.Warn(s.logger).Log("event", "beacon-skipped", "err", err)
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -14,6 +14,7 @@
 	for round := 1; s.sleep(gaugeInterval); round++ {
 		s.updateTransferGauges()
 		s.logRetryUsage()
+		s.quotas.report()
 		if round%transferLogRounds == 0 {
 			s.logTransfers()
 		}
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -14,7 +14,8 @@
 	// requests that failed and that were served late.
 	failedLinesPerSecond = 100
 	lateLinesPerSecond   = 20
-	// servedSampling is how many requests served in time yield one log line.
+	// servedSampling is how many requests served in time, or beyond a quota, yield one log
+	// line.
 	servedSampling = 100
 )
 
@@ -42,6 +43,11 @@
 	class, write := "served", false
 	now := s.clock.Now()
 	switch {
+	case o.Reason == call.ReasonQuota:
+		// The node logs once a second what it refuses for quotas.
+		class = "refused"
+		l.served++
+		write = l.served%servedSampling == 1
 	case o.Outcome != call.Answered || o.Status >= 500:
 		class, write = "failed", l.failed.AllowN(now, 1)
 	case o.Late:
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -53,6 +53,8 @@
 	observe      func(ingress.Observation)
 	readSettings func() (*settings.Sidecar, error)
 	gauge        func(name string, value float64)
+	// organisationGauge receives the gauges of organisations.
+	organisationGauge func(organisation, name string, value float64)
 
 	settings         atomic.Pointer[settings.Sidecar]
 	table            atomic.Pointer[route.Table]
@@ -81,6 +83,7 @@
 	ingress         *ingress.Ingress
 	sender          *sender
 	transfers       transfers
+	quotas          *quotas
 	callerServer    *http1.Server
 	nodeServer      *http1.Server
 	httpServers     []*http.Server
@@ -131,6 +134,12 @@
 	return func(s *Sidecar) { s.gauge = gauge }
 }
 
+// WithOrganisationGauge sets a function that receives the gauges of organisations once a
+// second, those of all but the first few as one.
+func WithOrganisationGauge(gauge func(organisation, name string, value float64)) Option {
+	return func(s *Sidecar) { s.organisationGauge = gauge }
+}
+
 // WithSettingsReader sets the function with which Reload reads the settings.
 func WithSettingsReader(readSettings func() (*settings.Sidecar, error)) Option {
 	return func(s *Sidecar) { s.readSettings = readSettings }
@@ -140,7 +149,7 @@
 func New(conf *settings.Sidecar, options ...Option) (*Sidecar, error) {
 	s := &Sidecar{
 		clock: clock.System{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
-		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, view: fleet.NewView(), blocklist: quarantine.NewBlocklist(),
+		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, organisationGauge: func(string, string, float64) {}, view: fleet.NewView(), blocklist: quarantine.NewBlocklist(),
 		stateChanged: make(chan struct{}, 1), loadChanged: make(chan struct{}, 1), estimateChanged: make(chan struct{}, 1),
 		fetchRequests: make(chan fleet.Peer, 1), nodeLines: rate.NewLimiter(nodeLinesPerSecond, nodeLinesBurst),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -160,10 +169,12 @@
 		egress.WithLogger(s.logger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
 		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist))
 	s.sender = newSender(s.clock, conf.Host(), conf.FailureDomain(), s.gate, &s.transfers)
+	s.quotas = newQuotas(s)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.sender,
 		ingress.WithClock(s.clock), ingress.WithParentLookup(s.gate.RecordNestedCalls), ingress.WithHost(conf.Host()), ingress.WithBlocklist(s.blocklist),
 		ingress.WithObserver(newRequestLog(s).observe), ingress.WithTransferUnit(conf.TransferUnit()), ingress.WithSuspicion(s.logSuspect), ingress.WithStart(s.started),
 		ingress.WithRegions(func(failureDomain string) string { return s.settings.Load().RegionOf(failureDomain) }),
+		ingress.WithQuota(s.quotas),
 		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
 	if err := s.listen(conf); err != nil {
 		s.Kill()
@@ -275,6 +286,7 @@
 	s.tomb.Go(s.receiveDatagrams)
 	s.tomb.Go(s.fetchConfigurations)
 	s.tomb.Go(s.updateGauges)
+	s.tomb.Go(s.quotas.run)
 }
 
 // sleep waits and reports whether the node is still running.
--- a/sidecar/transfer.go
+++ b/sidecar/transfer.go
@@ -28,13 +28,15 @@
 	transferNotices
 	// transferDocuments counts configurations and rosters.
 	transferDocuments
+	// transferQuotas counts the messages between entry nodes and owners of organisations.
+	transferQuotas
 	transferKinds
 )
 
 // String returns the kebab-case name.
 func (k transferKind) String() string {
 	return [...]string{
-		"heads", "request-bodies", "response-bodies", "nested-calls", "refused-calls", "beacons", "notices", "documents",
+		"heads", "request-bodies", "response-bodies", "nested-calls", "refused-calls", "beacons", "notices", "documents", "quotas",
 	}[k]
 }
 
--- a/telemetry/requests.go
+++ b/telemetry/requests.go
@@ -51,5 +51,10 @@
 		Histogram("store_call_seconds", latencyBuckets).RecordDuration(e.Duration)
 }
 
+// SetOrganisationGauge sets the named gauge of an organisation.
+func (m *Metrics) SetOrganisationGauge(organisation, name string, value float64) {
+	m.scope.Tagged(map[string]string{"organisation": organisation}).Gauge(name).Update(value)
+}
+
 // SetGauge sets the named gauge.
 func (m *Metrics) SetGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
