sidecar, settings, telemetry, docs: leave the failure domain by room where settings ask

placement.leave-domain is by-room or by-constant; without it, calls leave by room if the regions name more than one. placement.domain-byte-price and region-byte-price are the prices of bytes. Attempts that left say their way and why in the trail and in attempts_leaving_total; gauges show the learned delays, the share that leaves and the bytes between regions.

--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -32,6 +32,9 @@
 	gracePeriod           time.Duration
 	memoryLimitMB         int
 	transferUnit          int64
+	leaveDomain           string
+	domainBytePrice       float64
+	regionBytePrice       float64
 	firstStart            bool
 	region                string
 	regions               map[string]string
@@ -106,6 +109,33 @@
 // costs as much as the whole capacity of an upstream.
 func (s *Sidecar) TransferUnit() int64 { return s.transferUnit }
 
+// LeavesByRoom reports whether calls leave their failure domain by the room there and at
+// the prices of the ways, in place of a constant cost: if the settings say so, or say
+// nothing and name more than one region, as one constant can't be right for both ways.
+func (s *Sidecar) LeavesByRoom() bool {
+	if s.leaveDomain == "" {
+		return s.manyRegions()
+	}
+	return s.leaveDomain == leaveByRoom
+}
+
+// manyRegions reports whether the settings name more than one region.
+func (s *Sidecar) manyRegions() bool {
+	for _, region := range s.regions {
+		if region != s.RegionOf(s.failureDomain) {
+			return true
+		}
+	}
+	return false
+}
+
+// DomainBytePrice returns the price of a byte between failure domains of a region:
+// TransferUnit bytes at a price of 1 cost as much as a lost answer.
+func (s *Sidecar) DomainBytePrice() float64 { return s.domainBytePrice }
+
+// RegionBytePrice returns the price of a byte between regions; see DomainBytePrice.
+func (s *Sidecar) RegionBytePrice() float64 { return s.regionBytePrice }
+
 // Region returns the host's region, "" if the settings have none.
 func (s *Sidecar) Region() string { return s.region }
 
@@ -164,6 +194,10 @@
 
 type sidecarPlacement struct {
 	TransferUnitBytes int64 `toml:"transfer-unit-bytes"`
+	// LeaveDomain is by-room, by-constant, or "" for by-room where there are several regions.
+	LeaveDomain     string  `toml:"leave-domain"`
+	DomainBytePrice float64 `toml:"domain-byte-price"`
+	RegionBytePrice float64 `toml:"region-byte-price"`
 }
 
 type sidecarAdvertise struct {
@@ -197,6 +231,13 @@
 const (
 	// defaultQuotaWindow is the default of the span over which a quota is counted.
 	defaultQuotaWindow = "5s"
+	// defaultDomainBytePrice and defaultRegionBytePrice are the defaults of the prices of
+	// bytes: a way between regions uses the links of two domains and the one between.
+	defaultDomainBytePrice = 1
+	defaultRegionBytePrice = 2
+	// leaveByRoom and leaveByConstant are values of placement.leave-domain.
+	leaveByRoom     = "by-room"
+	leaveByConstant = "by-constant"
 	// defaultWarmupOverage allows cold upstreams what they tolerate.
 	defaultWarmupOverage = 1
 )
@@ -214,7 +255,9 @@
 // errors.
 func ParseSidecar(name string, data []byte) (*Sidecar, error) {
 	doc := sidecarDocument{
-		LogLevel: "info", Placement: sidecarPlacement{TransferUnitBytes: routing.DefaultTransferUnit},
+		LogLevel: "info", Placement: sidecarPlacement{
+			TransferUnitBytes: routing.DefaultTransferUnit, DomainBytePrice: defaultDomainBytePrice, RegionBytePrice: defaultRegionBytePrice,
+		},
 		Bounds: sidecarBounds{QuotaWindow: defaultQuotaWindow, WarmupOverage: defaultWarmupOverage},
 	}
 	if err := toml.Decode(name, data, &doc); err != nil {
@@ -248,6 +291,9 @@
 		region:           doc.Region,
 		regions:          doc.Regions,
 		transferUnit:     int64(c.positive(float64(doc.Placement.TransferUnitBytes), "placement", "transfer-unit-bytes")),
+		leaveDomain:      c.oneOf(doc.Placement.LeaveDomain, []string{"", leaveByRoom, leaveByConstant}, "placement", "leave-domain"),
+		domainBytePrice:  c.notNegative(doc.Placement.DomainBytePrice, "placement", "domain-byte-price"),
+		regionBytePrice:  c.notNegative(doc.Placement.RegionBytePrice, "placement", "region-byte-price"),
 	}
 	if doc.Region != "" {
 		c.name(doc.Region, "region")
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -270,9 +270,7 @@
 		_ = level.Debug(s.logger).Log("event", "beacon-failed", "address", to.GossipAddress, "err", err)
 		return
 	}
-	if to.FailureDomain != s.settings.Load().FailureDomain() {
-		s.transfers.add(kind, len(data))
-	}
+	s.transfers.add(to.FailureDomain, kind, len(data))
 }
 
 // receiveDatagrams receives the beacons and load notices of other nodes.
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -261,8 +261,6 @@
 	case !complete || response.Status != http.StatusOK:
 		return nil, eris.Errorf("status %d, complete body: %t", response.Status, complete)
 	}
-	if b.FailureDomain != s.settings.Load().FailureDomain() {
-		s.transfers.add(transferDocuments, len(data))
-	}
+	s.transfers.add(b.FailureDomain, transferDocuments, len(data))
 	return data, nil
 }
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -6,6 +6,7 @@
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/ingress"
+	"github.com/banyancross/banyancross/locality"
 )
 
 // UntilSlot exports untilSlot.
@@ -50,3 +51,13 @@
 
 // Incarnation returns the node's incarnation.
 func (s *Sidecar) Incarnation() int64 { return s.incarnation.Load() }
+
+// CountBeacons counts beacons to failure domains, by the way to them, and returns the bytes
+// to other failure domains and to other regions.
+func CountBeacons(ways map[string]locality.Way, bytes int) (domains, regions int64) {
+	t := transfers{way: func(failureDomain string) locality.Way { return ways[failureDomain] }}
+	for failureDomain := range ways {
+		t.add(failureDomain, transferBeacons, bytes)
+	}
+	return t.bytes[transferBeacons].Load(), t.regionBytes[transferBeacons].Load()
+}
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -13,6 +13,7 @@
 func (s *Sidecar) updateGauges() error {
 	for round := 1; s.sleep(gaugeInterval); round++ {
 		s.updateTransferGauges()
+		s.updateLeavingGauges()
 		s.logRetryUsage()
 		if round%transferLogRounds == 0 {
 			s.logTransfers()
--- a/sidecar/hops.go
+++ b/sidecar/hops.go
@@ -27,11 +27,10 @@
 
 // sender sends attempts to the admission gates of the fleet.
 type sender struct {
-	clock         Clock
-	host          string
-	failureDomain string
-	gate          *egress.Gate
-	transfers     *transfers
+	clock     Clock
+	host      string
+	gate      *egress.Gate
+	transfers *transfers
 
 	mu    sync.Mutex
 	pools map[string]*nodePool
@@ -45,9 +44,9 @@
 
 var _ ingress.Sender = (*sender)(nil)
 
-func newSender(clock Clock, host, failureDomain string, gate *egress.Gate, transfers *transfers) *sender {
+func newSender(clock Clock, host string, gate *egress.Gate, transfers *transfers) *sender {
 	return &sender{
-		clock: clock, host: host, failureDomain: failureDomain, gate: gate, transfers: transfers, pools: map[string]*nodePool{},
+		clock: clock, host: host, gate: gate, transfers: transfers, pools: map[string]*nodePool{},
 	}
 }
 
@@ -107,9 +106,7 @@
 		return egress.Refusal(outcome, call.ReasonConnection)
 	}
 	answer := readAnswer(meta, response)
-	if b.FailureDomain != s.failureDomain {
-		s.transfers.addCall(meta, header, len(c.Content), answer)
-	}
+	s.transfers.addCall(b.FailureDomain, meta, header, len(c.Content), answer)
 	return answer
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -159,12 +159,13 @@
 	s.gate = egress.NewGate(conf.BackendAddress(), s.table.Load, egress.WithClock(s.clock),
 		egress.WithLogger(s.logger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
 		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist))
-	s.sender = newSender(s.clock, conf.Host(), conf.FailureDomain(), s.gate, &s.transfers)
+	s.transfers.way = s.way
+	s.sender = newSender(s.clock, conf.Host(), s.gate, &s.transfers)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.sender,
 		ingress.WithClock(s.clock), ingress.WithParentLookup(s.gate.RecordNestedCalls), ingress.WithHost(conf.Host()), ingress.WithBlocklist(s.blocklist),
 		ingress.WithObserver(newRequestLog(s).observe), ingress.WithTransferUnit(conf.TransferUnit()), ingress.WithSuspicion(s.logSuspect), ingress.WithStart(s.started),
 		ingress.WithRegions(func(failureDomain string) string { return s.settings.Load().RegionOf(failureDomain) }),
-		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
+		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}), leavingOption(conf))
 	if err := s.listen(conf); err != nil {
 		s.Kill()
 		return nil, err
--- a/sidecar/transfer.go
+++ b/sidecar/transfer.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/locality"
 )
 
 // transferKind is a reason for which bytes are transferred to or from nodes in
@@ -46,13 +47,26 @@
 // domains, each at the node that initiates the exchange; it is safe for concurrent
 // use.
 type transfers struct {
+	// way returns the way to a failure domain.
+	way   func(failureDomain string) locality.Way
 	bytes [transferKinds]atomic.Int64
+	// regionBytes holds the part of bytes that was exchanged with other regions.
+	regionBytes [transferKinds]atomic.Int64
 }
 
-func (t *transfers) add(kind transferKind, bytes int) { t.bytes[kind].Add(int64(bytes)) }
+// add counts bytes exchanged with a node in a failure domain, unless it is the own one.
+func (t *transfers) add(failureDomain string, kind transferKind, bytes int) {
+	switch t.way(failureDomain) {
+	case locality.Within:
+		return
+	case locality.BetweenRegions:
+		t.regionBytes[kind].Add(int64(bytes))
+	}
+	t.bytes[kind].Add(int64(bytes))
+}
 
-// addCall counts an attempt at a gate. Bodies of unknown length are left out.
-func (t *transfers) addCall(meta hop.Meta, header http.Header, body int, answer *egress.Answer) {
+// addCall counts an attempt at a gate in a failure domain. Bodies of unknown length are left out.
+func (t *transfers) addCall(failureDomain string, meta hop.Meta, header http.Header, body int, answer *egress.Answer) {
 	heads, response := headBytes(header), 0
 	if answer.Response != nil {
 		heads += headBytes(answer.Response.Header)
@@ -60,13 +74,13 @@
 	}
 	switch {
 	case answer.Response == nil:
-		t.add(transferRefused, heads+body)
+		t.add(failureDomain, transferRefused, heads+body)
 	case meta.Depth > 0:
-		t.add(transferNested, heads+body+response)
+		t.add(failureDomain, transferNested, heads+body+response)
 	default:
-		t.add(transferHeads, heads)
-		t.add(transferRequestBodies, body)
-		t.add(transferResponseBodies, response)
+		t.add(failureDomain, transferHeads, heads)
+		t.add(failureDomain, transferRequestBodies, body)
+		t.add(failureDomain, transferResponseBodies, response)
 	}
 }
 
@@ -88,14 +102,19 @@
 func (s *Sidecar) updateTransferGauges() {
 	for kind := range transferKinds {
 		s.gauge("domain_transfer_bytes_"+strings.ReplaceAll(kind.String(), "-", "_"), float64(s.transfers.bytes[kind].Load()))
+		s.gauge("region_transfer_bytes_"+strings.ReplaceAll(kind.String(), "-", "_"), float64(s.transfers.regionBytes[kind].Load()))
 	}
 }
 
 // logTransfers logs the bytes transferred so far, by kind.
 func (s *Sidecar) logTransfers() {
-	fields := []any{"event", "transfers"}
+	fields, regions := []any{"event", "transfers"}, int64(0)
 	for kind := range transferKinds {
 		fields = append(fields, kind.String(), s.transfers.bytes[kind].Load())
+		regions += s.transfers.regionBytes[kind].Load()
+	}
+	if regions > 0 {
+		fields = append(fields, "between-regions", regions)
 	}
 	_ = level.Info(s.logger).Log(fields...)
 }
--- a/telemetry/requests.go
+++ b/telemetry/requests.go
@@ -30,6 +30,10 @@
 		retries.Counter("nested_retries_total").Inc(1)
 	}
 	for i, attempt := range o.Trail {
+		if attempt.Leaving != "" {
+			m.scope.Tagged(map[string]string{"way": attempt.Way.String(), "reason": string(attempt.Leaving)}).
+				Counter("attempts_leaving_total").Inc(1)
+		}
 		if attempt.Retry {
 			retries.Counter("retries_total").Inc(1)
 		}
--- a/telemetry/trail.go
+++ b/telemetry/trail.go
@@ -6,6 +6,7 @@
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/ingress"
+	"github.com/banyancross/banyancross/locality"
 )
 
 // Trail holds the attempts of a request as they are logged.
@@ -15,7 +16,8 @@
 // retry budget. OffsetMS is the time from the receipt
 // of the request to the attempt; QueueTimeMS is the part of ElapsedMS that the call
 // spent queued at the admission gate. Running, Limit, Waiting and Slowdown are the
-// load that the gate reported with its answer.
+// load that the gate reported with its answer. Way is the way to another failure domain,
+// and Leaving why the attempt took it.
 type Attempt struct {
 	OffsetMS    int64   `json:"at-ms"`
 	Host        string  `json:"host"`
@@ -30,6 +32,8 @@
 	Limit       uint32  `json:"limit"`
 	Waiting     uint32  `json:"waiting,omitempty"`
 	Slowdown    float32 `json:"slowdown,omitempty"`
+	Way         string  `json:"way,omitempty"`
+	Leaving     string  `json:"left-for,omitempty"`
 }
 
 // NewTrail converts the attempts of a request to a Trail.
@@ -40,11 +44,20 @@
 			OffsetMS: a.Offset.Milliseconds(), Host: a.Host, Upstream: a.Upstream, Hedge: a.Hedge, Retry: a.Retry,
 			Outcome: a.Outcome.String(), Reason: string(a.Reason), ElapsedMS: a.Elapsed.Milliseconds(), QueueTimeMS: a.QueueTime.Milliseconds(),
 			Running: a.Load.Running, Limit: a.Load.Limit, Waiting: a.Load.Waiting, Slowdown: a.Load.Slowdown,
+			Way: wayName(a), Leaving: string(a.Leaving),
 		})
 	}
 	return trail
 }
 
+// wayName returns the name of an attempt's way, "" within a failure domain.
+func wayName(a ingress.AttemptRecord) string {
+	if a.Way == locality.Within {
+		return ""
+	}
+	return a.Way.String()
+}
+
 // Answered reports whether the upstream answered the attempt.
 func (a Attempt) Answered() bool { return a.Outcome == call.Answered.String() }
 
@@ -63,8 +76,12 @@
 	if a.Reason != "" {
 		reason = " " + a.Reason
 	}
-	return fmt.Sprintf("+%dms %s/%s%s %s%s after %dms, %dms of them waiting, %d of %d running, %d waiting, slowdown %.1f",
-		a.OffsetMS, a.Host, a.Upstream, kind, a.Outcome, reason, a.ElapsedMS, a.QueueTimeMS, a.Running, a.Limit, a.Waiting, a.Slowdown)
+	left := ""
+	if a.Leaving != "" {
+		left = ", " + a.Way + " for " + a.Leaving
+	}
+	return fmt.Sprintf("+%dms %s/%s%s %s%s after %dms, %dms of them waiting, %d of %d running, %d waiting, slowdown %.1f%s",
+		a.OffsetMS, a.Host, a.Upstream, kind, a.Outcome, reason, a.ElapsedMS, a.QueueTimeMS, a.Running, a.Limit, a.Waiting, a.Slowdown, left)
 }
 
 // Text returns a human-readable description of the attempts.
