ingress, cmd/banyancross: where explains where a request would go, without sending it

To learn why a request goes to an upstream, an operator had to send it and read its trail. banyancross where asks a sidecar at its metrics address. It changes no weights, shares or counts.

--- a/cmd/banyancross/main.go
+++ b/cmd/banyancross/main.go
@@ -27,6 +27,7 @@
 	Node     nodeCommand     `cmd:"" help:"Run the node beside a backend server."`
 	Sidecar  sidecarCommand  `cmd:"" help:"Run the node on a host that the platform runs."`
 	Explain  explainCommand  `cmd:"" help:"Collect what several nodes logged about one request."`
+	Where    whereCommand    `cmd:"" help:"Show where a request would go now, and why, without sending it."`
 	Losses   lossesCommand   `cmd:"" help:"Table what played days lost of their worth, and why."`
 	Note     noteCommand     `cmd:"" help:"Publish, amend, withdraw and read release notes."`
 	Status   statusCommand   `cmd:"" help:"Show services, upstreams and nodes."`
--- a/ingress/leaving.go
+++ b/ingress/leaving.go
@@ -200,6 +200,11 @@
 
 // chooseByWay returns the upstream with the least cost, each at the cost of its way.
 func (s *session) chooseByWay(now time.Time, peers []fleet.Peer, domains []locality.Domain) fleet.Peer {
+	return peers[s.in.policy.Choose(now, s.pricedCandidates(peers, domains))]
+}
+
+// pricedCandidates returns the upstreams as candidates at the costs of their ways.
+func (s *session) pricedCandidates(peers []fleet.Peer, domains []locality.Domain) []routing.Candidate {
 	placed := s.placedCall()
 	costs := make([]float64, len(domains))
 	for i, domain := range domains {
@@ -211,7 +216,7 @@
 		candidates[i] = routing.NewCandidate(peer.Key(), b.Slots, 0, !s.local(peer)).
 			WithGroup(peer.Group()).WithWayCost(costs[indexOfDomain(domains, b.FailureDomain)])
 	}
-	return peers[s.in.policy.Choose(now, candidates)]
+	return candidates
 }
 
 // indexOfDomain returns the index of the named failure domain, -1 if there is none.
--- a/ingress/placement.go
+++ b/ingress/placement.go
@@ -38,16 +38,22 @@
 
 // placeByConstant is place at a constant cost of the way to other failure domains.
 func (s *session) placeByConstant(now time.Time, peers []fleet.Peer, hedge bool) (fleet.Peer, bool) {
-	transferCost := s.in.policy.TransferCost(s.transferBytes())
-	if transferCost >= localTransferCost {
-		if free := s.freeLocalPeers(peers); len(free) > 0 {
-			return s.choose(now, free), false
-		}
+	if free := s.mustStay(peers); len(free) > 0 {
+		return s.choose(now, free), false
 	}
 	peer := s.choose(now, peers)
 	return peer, hedge || s.declinable(now, peer, len(peers))
 }
 
+// mustStay returns the upstreams in the own failure domain to which a request with a long
+// transfer is bound while they have free slots, none for other requests.
+func (s *session) mustStay(peers []fleet.Peer) []fleet.Peer {
+	if s.in.policy.TransferCost(s.transferBytes()) < localTransferCost {
+		return nil
+	}
+	return s.freeLocalPeers(peers)
+}
+
 // declinable reports whether the gate of the chosen one out of a number of upstreams may
 // decline the request. When no better upstream is left, queueing beats a refusal.
 func (s *session) declinable(now time.Time, peer fleet.Peer, upstreams int) bool {
@@ -81,6 +87,11 @@
 }
 
 func (s *session) choose(now time.Time, peers []fleet.Peer) fleet.Peer {
+	return peers[s.in.policy.Choose(now, s.routingCandidates(peers))]
+}
+
+// routingCandidates returns the upstreams as candidates at a constant cost of the way.
+func (s *session) routingCandidates(peers []fleet.Peer) []routing.Candidate {
 	bytes := s.transferBytes()
 	candidates := make([]routing.Candidate, len(peers))
 	for i, peer := range peers {
@@ -88,7 +99,7 @@
 		candidates[i] = routing.NewCandidate(peer.Key(), b.Slots, 0, !s.local(peer)).
 			WithTransferBytes(bytes).WithGroup(peer.Group())
 	}
-	return peers[s.in.policy.Choose(now, candidates)]
+	return candidates
 }
 
 // transferBytes returns the expected number of bytes that the request and its
--- a/route/table.go
+++ b/route/table.go
@@ -173,6 +173,10 @@
 // NextService returns the service that the route's next request goes to.
 func (r *Route) NextService() string { return r.balancer.next() }
 
+// PeekService returns the service that NextService would return, and leaves the
+// distribution of the requests unchanged.
+func (r *Route) PeekService() string { return r.balancer.peek() }
+
 // balancer distributes requests over targets by smooth weighted round robin; it
 // is safe for concurrent use.
 type balancer struct {
@@ -198,13 +202,28 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.step(b.credit)
+}
+
+// peek returns what next would return.
+func (b *balancer) peek() string {
+	if len(b.targets) == 1 || b.totalWeight <= 0 {
+		return b.targets[0].Service
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.step(slices.Clone(b.credit))
+}
+
+// step chooses a target and changes the credits.
+func (b *balancer) step(credit []float64) string {
 	best := 0
 	for i := range b.targets {
-		b.credit[i] += b.targets[i].Weight
-		if b.credit[i] > b.credit[best] {
+		credit[i] += b.targets[i].Weight
+		if credit[i] > credit[best] {
 			best = i
 		}
 	}
-	b.credit[best] -= b.totalWeight
+	credit[best] -= b.totalWeight
 	return b.targets[best].Service
 }
--- a/routing/least_cost.go
+++ b/routing/least_cost.go
@@ -156,35 +156,42 @@
 // cost returns the cost of a candidate in shares of an upstream's capacity; p.mu
 // must be held.
 func (p *LeastCost) cost(now time.Time, candidate Candidate) float64 {
-	cost := 0.0
+	return p.parts(now, candidate).Total()
+}
+
+// parts returns the parts of the cost of a candidate; p.mu must be held.
+func (p *LeastCost) parts(now time.Time, candidate Candidate) Cost {
+	var cost Cost
 	switch {
 	case candidate.priced:
-		cost += candidate.wayCost
+		cost.Way = candidate.wayCost
 	case candidate.remote:
-		cost += remoteCost + p.TransferCost(candidate.transferBytes)
+		cost.Way = remoteCost + p.TransferCost(candidate.transferBytes)
 	}
 	u := p.upstreams[candidate.name]
 	if u == nil {
-		return cost + p.groupCost(now, candidate.group)
+		cost.Load = p.groupCost(now, candidate.group)
+		return cost
 	}
 	running, limit := float64(u.inFlight), float64(max(candidate.slots, 1))
 	age := now.Sub(u.reportedAt)
 	if age >= loadLifetime {
-		cost += p.groupCost(now, candidate.group)
+		cost.Load = p.groupCost(now, candidate.group)
 	} else {
 		running = max(running, float64(u.load.Running+u.load.Waiting))
 		if u.load.Limit > 0 {
 			limit = float64(u.load.Limit)
 		}
 	}
-	cost += running / limit
+	cost.Load += running / limit
 	if age < slowdownLifetime {
-		cost += slowdownCost(u.load)
+		cost.Slowdown = slowdownCost(u.load)
 	}
 	if age < loadLifetime && u.load.Failing {
-		cost += failingCost
+		cost.Failing = failingCost
 	}
-	return cost + u.decayedPenalty(now)
+	cost.Connections = u.decayedPenalty(now)
+	return cost
 }
 
 // groupCost returns the expected cost of the load of an upstream of a group that did
--- a/sidecar/handlers.go
+++ b/sidecar/handlers.go
@@ -136,5 +136,6 @@
 func (s *Sidecar) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics)
+	mux.HandleFunc("GET "+WherePath, s.handleWhere)
 	return mux
 }
