--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -176,7 +176,8 @@
 			conf := s.settings.Load()
 			return conf.WarmupOverage(), conf.WarmupSlack()
 		}))
-	s.sender = newSender(s.clock, conf.Host(), conf.FailureDomain(), s.gate, &s.transfers)
+	s.transfers.way = s.way
+	s.sender = newSender(s.clock, conf.Host(), s.gate, &s.transfers)
 	s.quotas = newQuotas(s)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.sender,
 		ingress.WithClock(s.clock), ingress.WithParentLookup(s.gate.RecordNestedCalls), ingress.WithHost(conf.Host()), ingress.WithBlocklist(s.blocklist),
@@ -184,7 +185,7 @@
 		ingress.WithRegions(func(failureDomain string) string { return s.settings.Load().RegionOf(failureDomain) }),
 		ingress.WithEvacuation(s.knownEvacuation),
 		ingress.WithQuota(s.quotas),
-		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}))
+		ingress.WithRetryBudget(ingress.RetryBudget{Ratio: conf.RetryRatio(), Slack: conf.RetrySlack(), Window: conf.RetryWindow()}), leavingOption(conf))
 	if err := s.listen(conf); err != nil {
 		s.Kill()
 		return nil, err
