admission, ingress: reject at the entry what a service on the way has no room for

What a full service at the end of a chain rejects has already cost the runs of its callers: requests were admitted, held a slot, and failed for a nested call.

Entry nodes merge the reports into the level of a service, less by what is free (none from a tenth of the slots), and refuse the least urgent requests beyond it with 503 and the reason level before they are sent: by the level of their own service and of those that their runs call. Nested calls are never refused by it. A pass that waited for its longest wait counts as lost, one whose caller left does not. Log line level, gauges upstream_excess and upstream_nested_excess.

The replay plays a chain that loses half of its last service while its first kind comes 1.6 times as often, beside orders that need the first service only.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -74,6 +74,8 @@
 	draining         bool
 	idle             chan struct{}
 	idleClosed       bool
+	// direct and nested are the excess of calls of depth 0 and of deeper ones.
+	direct, nested excess
 }
 
 // Option configures a Gate.
@@ -138,23 +140,52 @@
 		return nil, call.Refuse(call.NotRun, call.ReasonDeadline)
 	}
 	g.observeNesting(request)
+	g.advanceExcess(now)
 	g.sequence++
-	pass := &Pass{gate: g, request: request, sequence: g.sequence, ready: make(chan struct{})}
+	pass := &Pass{gate: g, request: request, arrived: now, sequence: g.sequence, ready: make(chan struct{})}
 	g.queue.join(pass, g.expectedServiceTime(request))
 	if g.queue.Len() == 0 && g.canStart(now, request) {
+		g.excess(request).arrive()
 		g.grant(now, pass)
 		return pass, nil
 	}
 	if request.Immediate {
 		return nil, call.Refuse(call.NotRun, call.ReasonOverload)
 	}
+	g.excess(request).arrive()
 	refusal := g.enqueue(now, pass)
 	if refusal != nil {
+		g.excess(request).lose()
 		return nil, refusal
 	}
 	return pass, nil
 }
 
+// excess returns the excess that the request counts for.
+func (g *Gate) excess(request Request) *excess {
+	if request.Depth > 0 {
+		return &g.nested
+	}
+	return &g.direct
+}
+
+func (g *Gate) advanceExcess(now time.Time) {
+	g.direct.advance(now)
+	g.nested.advance(now)
+}
+
+// push queues a pass.
+func (g *Gate) push(pass *Pass) {
+	g.queue.push(pass)
+	g.excess(pass.request).queue(1)
+}
+
+// remove takes a pass out of the queue.
+func (g *Gate) remove(pass *Pass) {
+	g.queue.remove(pass)
+	g.excess(pass.request).queue(-1)
+}
+
 // enqueue queues the pass unless it would miss its deadline or wait for too long; a full
 // queue sheds a call of the least depth, and there of the organisation that holds most.
 func (g *Gate) enqueue(now time.Time, pass *Pass) *call.Refusal {
@@ -167,7 +198,7 @@
 	if maxWait > 0 && float64(ahead/limit) > waitMargin*float64(maxWait) {
 		return call.Refuse(call.NotRun, call.ReasonOverload)
 	}
-	g.queue.push(pass)
+	g.push(pass)
 	if g.queue.Len() <= g.queueCapacity() {
 		return nil
 	}
@@ -178,7 +209,7 @@
 	}
 	reason := g.queue.shedReason(last)
 	if last == pass {
-		g.queue.remove(pass)
+		g.remove(pass)
 		return call.Refuse(call.NotRun, reason)
 	}
 	g.shed(last, reason)
@@ -199,7 +230,10 @@
 
 // shed rejects a queued pass.
 func (g *Gate) shed(pass *Pass, reason call.Reason) {
-	g.queue.remove(pass)
+	g.remove(pass)
+	if reason != call.ReasonCancelled && reason != call.ReasonLeaving {
+		g.excess(pass.request).lose()
+	}
 	pass.refusal = call.Refuse(call.NotRun, reason)
 	close(pass.ready)
 }
@@ -240,6 +274,9 @@
 	pass.granted = true
 	pass.started = now
 	pass.shares.granted(pass.share, pass.cost)
+	if pass.delayed(now) {
+		g.nested.lose()
+	}
 	close(pass.ready)
 }
 
@@ -255,7 +292,7 @@
 		if !g.canStart(now, next.request) {
 			break
 		}
-		g.queue.remove(next)
+		g.remove(next)
 		g.grant(now, next)
 	}
 	if g.draining && g.running == 0 && !g.idleClosed {
@@ -300,10 +337,12 @@
 func (g *Gate) Load(now time.Time) call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.advanceExcess(now)
 	return call.Load{
 		Running:     uint32(g.running),
 		Waiting:     uint32(g.queue.Len()),
 		Limit:       uint32(g.limitFor(now, Request{})),
 		ServiceTime: g.limiter.serviceTime,
+		Excess:      float32(g.direct.rejected), NestedExcess: float32(g.nested.rejected),
 	}
 }
--- /dev/null
+++ b/admission/levels.go
@@ -0,0 +1,287 @@
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/banyancross/banyancross/call"
+)
+
+// The decisions in this file answer a service at the bottom of a chain that is full: what
+// it rejects has already cost the runs of its callers. The entry node rejects at once the
+// least urgent requests for which the services that they need have no room.
+
+const (
+	// reportLifetime is how long the report of an upstream is valid: more than two
+	// intervals of the beacons that carry it.
+	reportLifetime = 600 * time.Millisecond
+	// freeLifetime is how long a report of free slots is valid: one such interval.
+	freeLifetime = 250 * time.Millisecond
+	// freeShare is the share of free slots from which there is no level; the level
+	// decreases towards it.
+	freeShare = 0.1
+	// minReports and minReportShare are the least number of upstreams with valid reports,
+	// and their least share of those that serve, from which there is a level.
+	minReports     = 3
+	minReportShare = 0.25
+	// demandWindow is the time that the demand by priority covers: long enough for some
+	// tens of requests at an entry node.
+	demandWindow = 2 * time.Second
+	// levelLifetime is how long a merged level is used.
+	levelLifetime = 20 * time.Millisecond
+	// maxSlowdown is the slowdown from which free slots do not count, because a run
+	// would be late there.
+	maxSlowdown = 2
+	// minNestedCalls is the mean number of calls to a service per run from which its
+	// level counts for the request.
+	minNestedCalls = 0.1
+	// loggedChange is the change of a level from which it is reported again.
+	loggedChange = 0.1
+)
+
+// Demand describes a request that is new to an entry node.
+type Demand struct {
+	// Service is the service of the request, and Nested the mean number of calls that
+	// its run makes to other services, nil if that is unknown.
+	Service string
+	Nested  map[string]float64
+	// Priority is lower for more urgent requests.
+	Priority int
+	// Late means that the request cannot be in time, or came back earlier than told, so
+	// that it goes after others of its priority.
+	Late bool
+	// Draw is a random number from 0 to 1.
+	Draw float64
+}
+
+// Level is what a service has no room for, as an entry node sees it.
+type Level struct {
+	Service string
+	// Nested tells whether it is for nested calls.
+	Nested bool
+	// Excess is the share of the calls without room, 0 without overload.
+	Excess float64
+	// Reports is the number of upstreams behind it, and Age the age of the oldest report.
+	Reports int
+	Age     time.Duration
+}
+
+// levelKey identifies the nested calls, or the others, of a service.
+type levelKey struct {
+	service string
+	nested  bool
+}
+
+// Levels merges the load reports of upstreams into the levels of their services; it is
+// safe for concurrent use.
+type Levels struct {
+	upstreams func(service string) int
+
+	mu      sync.Mutex
+	reports map[string]map[string]loadReport
+	demands map[levelKey]*demand
+	levels  map[levelKey]*levelState
+}
+
+type loadReport struct {
+	load call.Load
+	at   time.Time
+}
+
+// levelState is a merged level and what was reported of it.
+type levelState struct {
+	Level
+	mergedAt time.Time
+	logged   float64
+}
+
+// NewLevels returns Levels; upstreams returns the number of upstreams that serve a
+// service.
+func NewLevels(upstreams func(service string) int) *Levels {
+	return &Levels{
+		upstreams: upstreams, reports: map[string]map[string]loadReport{}, demands: map[levelKey]*demand{},
+		levels: map[levelKey]*levelState{},
+	}
+}
+
+// Report records a load report of an upstream.
+func (l *Levels) Report(now time.Time, service, upstream string, load call.Load) {
+	if load.Limit == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reports := l.reports[service]
+	if reports == nil {
+		reports = map[string]loadReport{}
+		l.reports[service] = reports
+	}
+	if previous, ok := reports[upstream]; ok && load.ServiceTime == 0 {
+		// A notice carries the running calls and the slowdown only.
+		load.ServiceTime, load.Excess, load.NestedExcess = previous.load.ServiceTime, previous.load.Excess, previous.load.NestedExcess
+	}
+	reports[upstream] = loadReport{load: load, at: now}
+}
+
+// Admit records a request that is not nested. It reports whether there is room for it,
+// and the level of the service without room if there is none.
+func (l *Levels) Admit(now time.Time, d Demand) (Level, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rank := 2 * d.Priority
+	if d.Late {
+		rank++
+	}
+	level, admitted := l.admit(now, levelKey{service: d.Service}, rank, 1, d.Draw)
+	for service, calls := range d.Nested {
+		if calls < minNestedCalls {
+			continue
+		}
+		if full, ok := l.admit(now, levelKey{service: service, nested: true}, rank, calls, d.Draw); !ok {
+			level, admitted = full, false
+		}
+	}
+	return level, admitted
+}
+
+// admit records the calls of a request and reports whether they are within the level.
+func (l *Levels) admit(now time.Time, key levelKey, rank int, calls, draw float64) (Level, bool) {
+	wanted := l.demands[key]
+	if wanted == nil {
+		wanted = &demand{since: now}
+		l.demands[key] = wanted
+	}
+	wanted.add(now, rank, calls)
+	level := l.level(now, key)
+	if level.Excess == 0 {
+		return level, true
+	}
+	before, own, all := wanted.position(rank)
+	return level, before+draw*own < (1-level.Excess)*all
+}
+
+// Level returns the level of a service, for its nested calls or the others.
+func (l *Levels) Level(now time.Time, service string, nested bool) Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.level(now, levelKey{service: service, nested: nested})
+}
+
+// TakeChanges returns the levels that began, changed much or ended since the latest call,
+// and drops what no report is left of.
+func (l *Levels) TakeChanges(now time.Time) []Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changed []Level
+	for key, state := range l.levels {
+		level := l.level(now, key)
+		if (state.logged == 0) != (level.Excess == 0) || math.Abs(state.logged-level.Excess) >= loggedChange {
+			state.logged = level.Excess
+			changed = append(changed, level)
+		}
+		if level.Reports == 0 && state.logged == 0 {
+			delete(l.levels, key)
+			delete(l.demands, key)
+			if len(l.reports[key.service]) == 0 {
+				delete(l.reports, key.service)
+			}
+		}
+	}
+	slices.SortFunc(changed, func(a, b Level) int { return cmp.Compare(a.Service, b.Service) })
+	return changed
+}
+
+// level returns the merged level of a service; l.mu is held.
+func (l *Levels) level(now time.Time, key levelKey) Level {
+	state := l.levels[key]
+	if state == nil {
+		state = &levelState{}
+		l.levels[key] = state
+	}
+	if state.mergedAt.IsZero() || now.Sub(state.mergedAt) >= levelLifetime {
+		state.Level, state.mergedAt = l.merge(now, key), now
+	}
+	return state.Level
+}
+
+// merge returns the mean of the reports, less by what is free. There is no level if too
+// few upstreams have reported lately.
+func (l *Levels) merge(now time.Time, key levelKey) Level {
+	level := Level{Service: key.service, Nested: key.nested}
+	excess, free, slots := 0.0, 0.0, 0.0
+	for upstream, report := range l.reports[key.service] {
+		age := now.Sub(report.at)
+		if age > reportLifetime {
+			delete(l.reports[key.service], upstream)
+			continue
+		}
+		load := report.load
+		level.Reports++
+		level.Age = max(level.Age, age)
+		slots += float64(load.Limit)
+		excess += excessOf(load, key.nested)
+		if age <= freeLifetime && load.Waiting == 0 && !load.Failing && load.Slowdown < maxSlowdown {
+			free += max(0, float64(load.Limit)-float64(load.Running))
+		}
+	}
+	if excess == 0 {
+		return level
+	}
+	serving := l.upstreams(key.service)
+	if level.Reports < min(serving, max(minReports, int(math.Ceil(minReportShare*float64(serving))))) {
+		return level
+	}
+	level.Excess = excess / float64(level.Reports) * max(0, 1-free/(freeShare*slots))
+	return level
+}
+
+// excessOf returns the reported share of the calls without room.
+func excessOf(load call.Load, nested bool) float64 {
+	value := load.Excess
+	if nested {
+		value = load.NestedExcess
+	}
+	return min(float64(value), 1-minAdmittedShare)
+}
+
+// demand counts calls by rank, most urgent first, decaying over demandWindow.
+type demand struct {
+	since time.Time
+	ranks []rankDemand
+}
+
+type rankDemand struct {
+	rank  int
+	calls float64
+}
+
+// add adds calls of a rank.
+func (d *demand) add(now time.Time, rank int, calls float64) {
+	decay := math.Exp(-float64(now.Sub(d.since)) / float64(demandWindow))
+	d.since = now
+	for i := range d.ranks {
+		d.ranks[i].calls *= decay
+	}
+	i, found := slices.BinarySearchFunc(d.ranks, rank, func(r rankDemand, rank int) int { return cmp.Compare(r.rank, rank) })
+	if !found {
+		d.ranks = slices.Insert(d.ranks, i, rankDemand{rank: rank})
+	}
+	d.ranks[i].calls += calls
+}
+
+// position returns the calls of ranks before the given one, of that rank, and of all.
+func (d *demand) position(rank int) (before, own, all float64) {
+	for _, r := range d.ranks {
+		switch {
+		case r.rank < rank:
+			before += r.calls
+		case r.rank == rank:
+			own = r.calls
+		}
+		all += r.calls
+	}
+	return before, own, all
+}
--- a/admission/pass.go
+++ b/admission/pass.go
@@ -15,6 +15,7 @@
 	ready    chan struct{}
 	granted  bool
 	ended    bool
+	arrived  time.Time
 	started  time.Time
 	refusal  *call.Refusal
 
@@ -38,14 +39,20 @@
 
 // Abandon removes the pass from the queue when its caller stops waiting. It
 // reports whether the pass was already granted; then End must still be called.
-func (p *Pass) Abandon() bool {
+func (p *Pass) Abandon() bool { return p.abandon(call.ReasonCancelled) }
+
+// Expire is Abandon for a pass that has been queued for its longest wait, which counts as
+// a call that there was no room for.
+func (p *Pass) Expire() bool { return p.abandon(call.ReasonOverload) }
+
+func (p *Pass) abandon(reason call.Reason) bool {
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
 	if p.granted {
 		return true
 	}
 	if p.refusal == nil {
-		p.gate.shed(p, call.ReasonCancelled)
+		p.gate.shed(p, reason)
 	}
 	return false
 }
@@ -72,3 +79,9 @@
 	}
 	g.dispatch(now)
 }
+
+// delayed reports whether a nested call waited for so long that its run will be late.
+func (p *Pass) delayed(now time.Time) bool {
+	maxWait := p.request.MaxWait
+	return p.class.depth > 0 && maxWait > 0 && float64(now.Sub(p.arrived)) > delayedShare*float64(maxWait)
+}
--- a/admission/replay_test.go
+++ b/admission/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -46,6 +47,10 @@
 	order  int
 	rng    *rand.Rand
 	gates  map[string][]*replayGate
+	// entries are the levels of the entry nodes, nil to admit all requests.
+	entries []*admission.Levels
+	// sampled is the level of studio's nested calls at an entry node, each 100 ms.
+	sampled []float64
 	// ignoreObjectives means that gates order calls by deadline only.
 	ignoreObjectives bool
 
@@ -60,7 +65,8 @@
 }
 
 type replayGate struct {
-	gate *admission.Gate
+	gate          *admission.Gate
+	service, name string
 	// slow multiplies the service times; gone means that no call reaches it.
 	slow   float64
 	gone   bool
@@ -86,8 +92,10 @@
 }
 
 func (r *replay) addGates(service string, count, slots int) {
-	for range count {
-		r.gates[service] = append(r.gates[service], &replayGate{gate: admission.NewGate(slots, admission.WithMaxUtilization(1)), slow: 1})
+	for i := range count {
+		r.gates[service] = append(r.gates[service], &replayGate{
+			gate: admission.NewGate(slots, admission.WithMaxUtilization(1)), service: service, name: fmt.Sprint(service, i), slow: 1,
+		})
 	}
 }
 
@@ -155,7 +163,11 @@
 	for _, t := range counts {
 		t.asked++
 	}
-	r.attempt(k, counts, r.now, k.retries)
+	entry := 0
+	if len(r.entries) > 0 {
+		entry = r.rng.IntN(len(r.entries))
+	}
+	r.attempt(k, counts, r.now, k.retries, entry)
 }
 
 func count[K comparable](tallies map[K]*tally, key K) *tally {
@@ -165,8 +177,13 @@
 	return tallies[key]
 }
 
+// retryAfter returns the Retry-After of a rejection.
+func (r *replay) retryAfter() time.Duration {
+	return 80*time.Millisecond + time.Duration(r.rng.Int64N(int64(120*time.Millisecond)))
+}
+
 // attempt sends a request that came first at begun.
-func (r *replay) attempt(k *kind, counts []*tally, begun time.Time, retries int) {
+func (r *replay) attempt(k *kind, counts []*tally, begun time.Time, retries, entry int) {
 	deadline := begun.Add(k.timeout)
 	reject := func(after time.Duration) {
 		left := deadline.Sub(r.now)
@@ -175,7 +192,7 @@
 		}
 		after = min(after, left/3)
 		if retries > 0 && after > 0 {
-			r.after(after, func() { r.attempt(k, counts, begun, retries-1) })
+			r.after(after, func() { r.attempt(k, counts, begun, retries-1, entry) })
 			return
 		}
 		for _, t := range counts {
@@ -183,6 +200,10 @@
 			t.wait += r.now.Sub(begun)
 		}
 	}
+	if !r.withinLevel(k, begun, entry) {
+		reject(r.retryAfter())
+		return
+	}
 	request := admission.Request{
 		Deadline: deadline, Priority: k.priority, Organisation: k.organisation, Expected: k.work,
 		Objective: begun.Add(k.objective),
@@ -221,6 +242,7 @@
 	pass, refusal := a.gate.gate.Admit(r.now, request)
 	if refusal != nil {
 		r.settle(a.gate)
+		r.answered(a.gate)
 		a.refused(refusal.Reason())
 		return
 	}
@@ -231,7 +253,8 @@
 		r.after(wait, func() {
 			if !a.closed {
 				a.closed = true
-				pass.Abandon()
+				pass.Expire()
+				r.answered(a.gate)
 				a.refused(call.ReasonOverload)
 			}
 		})
@@ -266,6 +289,7 @@
 // end frees the slot of a call that ran since started.
 func (r *replay) end(a *attempt, started time.Time, useful bool) {
 	a.pass.End(r.now, true)
+	r.answered(a.gate)
 	r.work += r.now.Sub(started)
 	if !useful {
 		r.wasted += r.now.Sub(started)
--- a/admission/waiting_test.go
+++ b/admission/waiting_test.go
@@ -27,13 +27,24 @@
 // chainReplay plays catalogue, whose runs each send two calls to studio together and hold
 // their slots until both have ended. From 2 s to 6 s, lookups come 1.6 times as often and
 // studio has half of its servers: room for 0.73 of the nested calls.
-func chainReplay() *replay {
+func chainReplay() *replay { return chain(0, true, 0) }
+
+// ordersReplay plays the chain with entry nodes beside orders that need catalogue only.
+// Without trouble, all servers stay and demand is constant.
+func ordersReplay(entries int, trouble bool) *replay { return chain(entries, trouble, 120) }
+
+func chain(entries int, trouble bool, orders float64) *replay {
 	const end = 9 * time.Second
 	r := newReplay(2)
-	r.addGates("catalogue", 14, 6)
+	r.addGates("catalogue", 14+int(orders)/60, 6)
 	r.addGates("studio", 6, 6)
+	r.addEntries(entries, end)
+	burst := 1.0
+	if trouble {
+		burst = 1.6
+	}
 	r.offer(&kind{
-		name: "item-lookup", service: "catalogue", rate: between(2*time.Second, 6*time.Second, 250, 1.6), work: 100 * time.Millisecond,
+		name: "item-lookup", service: "catalogue", rate: between(2*time.Second, 6*time.Second, 250, burst), work: 100 * time.Millisecond,
 		objective: 400 * time.Millisecond, timeout: 1500 * time.Millisecond, priority: 1, nested: "studio", nestedWork: 26 * time.Millisecond, retries: 1,
 	}, end)
 	r.offer(&kind{
@@ -44,7 +55,16 @@
 		name: "photo-upload", service: "studio", rate: constant(45), work: 120 * time.Millisecond, objective: 1200 * time.Millisecond,
 		timeout: 2000 * time.Millisecond, priority: 2, retries: 1,
 	}, end)
+	if orders > 0 {
+		r.offer(&kind{
+			name: "order-place", service: "catalogue", rate: constant(orders), work: 130 * time.Millisecond, objective: 400 * time.Millisecond,
+			timeout: 2000 * time.Millisecond, priority: 1, retries: 1,
+		}, end)
+	}
 	for _, g := range r.gates["studio"][:3] {
+		if !trouble {
+			break
+		}
 		r.after(2*time.Second, func() { g.gone = true })
 		r.after(6*time.Second, func() { g.gone = false })
 	}
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -129,7 +129,11 @@
 }
 
 func (g *Gate) abandon(pass *admission.Pass, reason call.Reason) call.Reason {
-	if pass.Abandon() {
+	abandon := pass.Abandon
+	if reason == call.ReasonOverload {
+		abandon = pass.Expire
+	}
+	if abandon() {
 		pass.End(g.clock.Now(), false)
 	}
 	return reason
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -57,6 +57,9 @@
 	in.policy.Finished(now, a.peer.Key(), routing.Result{
 		Elapsed: now.Sub(a.started), Outcome: r.answer.Meta.Outcome, Reason: r.answer.Meta.Reason, Load: r.answer.Meta.Load,
 	})
+	if load := r.answer.Meta.Load; load != nil {
+		in.recordLoad(a.peer.Beacon(), *load)
+	}
 	switch host := a.peer.Beacon().Host; {
 	case r.answer.Meta.FromGate:
 		in.view.RecordActivity(now, host)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/banyancross/banyancross/admission"
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/egress"
@@ -97,6 +98,7 @@
 	parentRun     ParentLookup
 	nestedCalls   *nestedCalls
 	usualTimeouts *usualTimeouts
+	levels        *admission.Levels
 	host          string
 	blocklist     *quarantine.Blocklist
 	transferUnit  int64
@@ -196,6 +198,7 @@
 	if in.started.IsZero() {
 		in.started = in.clock.Now()
 	}
+	in.levels = admission.NewLevels(func(service string) int { return len(view.Serving(service)) })
 	in.retryBudgets = newRetryBudgets(in.retryBudget, view, in.started, in.rng.Float64())
 	in.policy = routing.NewLeastCost(rand.New(rand.NewPCG(in.rng.Uint64(), in.rng.Uint64())), routing.WithTransferUnit(in.transferUnit))
 	return in
@@ -209,6 +212,7 @@
 func (in *Ingress) UpdateLoad(b *fleet.Beacon) {
 	if b.Upstream != "" {
 		in.policy.UpdateLoad(in.clock.Now(), fleet.UpstreamKey(b), b.Load)
+		in.recordLoad(b, b.Load)
 	}
 }
 
@@ -268,6 +272,10 @@
 		s.refuse(call.ReasonStopping)
 		return
 	}
+	if !s.withinLevel() {
+		s.refuse(call.ReasonLevel)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	s.deliver(ctx, s.exchange(ctx))
--- /dev/null
+++ b/ingress/level.go
@@ -0,0 +1,37 @@
+package ingress
+
+import (
+	"github.com/banyancross/banyancross/admission"
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/fleet"
+)
+
+// recordLoad records a load report for the choice of upstreams and the levels of services.
+func (in *Ingress) recordLoad(b *fleet.Beacon, load call.Load) {
+	in.levels.Report(in.clock.Now(), b.Service, fleet.UpstreamKey(b), load)
+}
+
+// LevelChanges returns the levels of services that began, changed much or ended since the
+// latest call.
+func (in *Ingress) LevelChanges() []admission.Level { return in.levels.TakeChanges(in.clock.Now()) }
+
+// withinLevel reports whether the services that the request needs have room for it. A
+// nested call belongs to a run that was admitted.
+func (s *session) withinLevel() bool {
+	if s.depth > 0 {
+		return true
+	}
+	early := s.elapsedBefore > 0 && s.elapsedBefore < minRetryAfter
+	_, ok := s.in.levels.Admit(s.received, admission.Demand{
+		Service: s.service, Nested: s.in.nestedCalls.measured(nestedKey{s.route.Name, s.service}), Priority: s.priority(),
+		Late: early || s.objectiveRemaining(s.received) < s.in.meanTime(s.route.Name), Draw: s.in.draw(),
+	})
+	return ok
+}
+
+// draw returns a random number from 0 to 1.
+func (in *Ingress) draw() float64 {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.rng.Float64()
+}
--- a/ingress/nested.go
+++ b/ingress/nested.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/banyancross/banyancross/route"
@@ -77,6 +78,18 @@
 	return expected
 }
 
+// measured returns the mean number of calls of a run, by the called service, nil with too
+// few samples; the map is the caller's.
+func (n *nestedCalls) measured(key nestedKey) map[string]float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	mean := n.means[key]
+	if mean == nil || mean.samples < minNestedSamples {
+		return nil
+	}
+	return maps.Clone(mean.calls)
+}
+
 // expectedCalls returns the expected nested calls of a run of the request, by the
 // called service.
 func (s *session) expectedCalls() map[string]float64 {
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -14,6 +14,7 @@
 	for round := 1; s.sleep(gaugeInterval); round++ {
 		s.updateTransferGauges()
 		s.logRetryUsage()
+		s.logLevels()
 		if round%transferLogRounds == 0 {
 			s.logTransfers()
 		}
@@ -40,6 +41,8 @@
 			"upstream_waiting":       float64(load.Waiting),
 			"upstream_limit":         float64(load.Limit),
 			"upstream_slowdown":      float64(load.Slowdown),
+			"upstream_excess":        float64(load.Excess),
+			"upstream_nested_excess": float64(load.NestedExcess),
 			"upstream_probes":        float64(s.gate.Probes()),
 		} {
 			s.gauge(name, value)
@@ -56,3 +59,11 @@
 			"uptime-ms", s.clock.Now().Sub(s.started).Milliseconds())
 	}
 }
+
+// logLevels logs the levels of services that changed since the latest call.
+func (s *Sidecar) logLevels() {
+	for _, l := range s.ingress.LevelChanges() {
+		_ = level.Info(s.logger).Log("event", "level", "service", l.Service, "nested", l.Nested, "excess", l.Excess,
+			"reports", l.Reports, "age-ms", l.Age.Milliseconds())
+	}
+}
