hop, egress, admission: answers relay the level of services that runs call

An entry node that does not call the full service itself gets no load reports of it, so it admitted what would fail. Gates now add the levels for nested calls that their node sees to their answers (hop.AnswerMeta key 13, no byte without overload); an entry node uses them where it has too few reports of its own, and does not pass them on. Told shares are bounded, and no number counts as 0.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -64,9 +64,11 @@
 	Nested bool
 	// Excess is the share of the calls without room, 0 without overload.
 	Excess float64
-	// Reports is the number of upstreams behind it, and Age the age of the oldest report.
+	// Reports is the number of upstreams behind it, or if Relayed is set, of nodes that
+	// told their level with answers, and Age the age of the oldest report.
 	Reports int
 	Age     time.Duration
+	Relayed bool
 }
 
 // levelKey identifies the nested calls, or the others, of a service.
@@ -82,6 +84,9 @@
 
 	mu      sync.Mutex
 	reports map[string]map[string]loadReport
+	// relays holds the levels for nested calls that the nodes of upstreams see, by service
+	// and upstream.
+	relays  map[string]map[string]relay
 	demands map[levelKey]*demand
 	levels  map[levelKey]*levelState
 }
@@ -91,6 +96,11 @@
 	at   time.Time
 }
 
+type relay struct {
+	excess float64
+	at     time.Time
+}
+
 // levelState is a merged level and what was reported of it.
 type levelState struct {
 	Level
@@ -102,7 +112,7 @@
 // service.
 func NewLevels(upstreams func(service string) int) *Levels {
 	return &Levels{
-		upstreams: upstreams, reports: map[string]map[string]loadReport{}, demands: map[levelKey]*demand{},
+		upstreams: upstreams, reports: map[string]map[string]loadReport{}, relays: map[string]map[string]relay{}, demands: map[levelKey]*demand{},
 		levels: map[levelKey]*levelState{},
 	}
 }
@@ -126,6 +136,43 @@
 	reports[upstream] = loadReport{load: load, at: now}
 }
 
+// Relay records the levels for nested calls that the node of an upstream told with an
+// answer, for entry nodes that do not call these services themselves.
+func (l *Levels) Relay(now time.Time, upstream string, excess map[string]float32) {
+	if len(excess) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for service, value := range excess {
+		relays := l.relays[service]
+		if relays == nil {
+			relays = map[string]relay{}
+			l.relays[service] = relays
+		}
+		relays[upstream] = relay{excess: boundedExcess(value), at: now}
+	}
+}
+
+// NestedExcess returns the levels for nested calls by the reports of upstreams, without
+// those that were relayed, by service, nil if there are none.
+func (l *Levels) NestedExcess(now time.Time) map[string]float32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var excess map[string]float32
+	for service := range l.reports {
+		level := l.level(now, levelKey{service: service, nested: true})
+		if level.Excess == 0 || level.Relayed {
+			continue
+		}
+		if excess == nil {
+			excess = map[string]float32{}
+		}
+		excess[service] = float32(level.Excess)
+	}
+	return excess
+}
+
 // Admit records a request that is not nested. It reports whether there is room for it,
 // and the level of the service without room if there is none.
 func (l *Levels) Admit(now time.Time, d Demand) (Level, bool) {
@@ -188,6 +235,9 @@
 			if len(l.reports[key.service]) == 0 {
 				delete(l.reports, key.service)
 			}
+			if len(l.relays[key.service]) == 0 {
+				delete(l.relays, key.service)
+			}
 		}
 	}
 	slices.SortFunc(changed, func(a, b Level) int { return cmp.Compare(a.Service, b.Service) })
@@ -207,8 +257,8 @@
 	return state.Level
 }
 
-// merge returns the mean of the reports, less by what is free. There is no level if too
-// few upstreams have reported lately.
+// merge returns the mean of the reports, less by what is free. If too few upstreams have
+// reported lately, there is only what other nodes relayed.
 func (l *Levels) merge(now time.Time, key levelKey) Level {
 	level := Level{Service: key.service, Nested: key.nested}
 	excess, free, slots := 0.0, 0.0, 0.0
@@ -227,23 +277,53 @@
 			free += max(0, float64(load.Limit)-float64(load.Running))
 		}
 	}
-	if excess == 0 {
-		return level
-	}
 	serving := l.upstreams(key.service)
 	if level.Reports < min(serving, max(minReports, int(math.Ceil(minReportShare*float64(serving))))) {
+		return l.relayed(now, key)
+	}
+	if excess == 0 {
 		return level
 	}
 	level.Excess = excess / float64(level.Reports) * max(0, 1-free/(freeShare*slots))
 	return level
 }
 
+// relayed returns the mean of what nodes told with answers.
+func (l *Levels) relayed(now time.Time, key levelKey) Level {
+	level := Level{Service: key.service, Nested: key.nested, Relayed: true}
+	if !key.nested {
+		return level
+	}
+	sum := 0.0
+	for upstream, r := range l.relays[key.service] {
+		if now.Sub(r.at) > reportLifetime {
+			delete(l.relays[key.service], upstream)
+			continue
+		}
+		level.Reports++
+		level.Age = max(level.Age, now.Sub(r.at))
+		sum += r.excess
+	}
+	if level.Reports > 0 {
+		level.Excess = sum / float64(level.Reports)
+	}
+	return level
+}
+
 // excessOf returns the reported share of the calls without room.
 func excessOf(load call.Load, nested bool) float64 {
 	value := load.Excess
 	if nested {
 		value = load.NestedExcess
 	}
+	return boundedExcess(value)
+}
+
+// boundedExcess returns a told excess within its bounds, 0 for NaN.
+func boundedExcess(value float32) float64 {
+	if !(value > 0) {
+		return 0
+	}
 	return min(float64(value), 1-minAdmittedShare)
 }
 
--- a/admission/levels_test.go
+++ b/admission/levels_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -195,6 +196,19 @@
 		Expect(ok).To(BeTrue())
 	})
 
+	It("reach entry nodes that do not call the full service by the answers of nodes that do", func() {
+		caller := reported(full(0, 0.6), full(0, 0.6), full(0, 0.6))
+		excess := caller.NestedExcess(now)
+		Expect(excess).To(HaveKeyWithValue("studio", BeNumerically("~", 0.6, 0.01)))
+
+		entry := reported()
+		entry.Relay(now, "catalogue-1", excess)
+		Expect(entry.Level(now, "studio", true).Excess).To(BeNumerically("~", 0.6, 0.01))
+		Expect(entry.Level(now, "studio", false).Excess).To(BeZero())
+		Expect(entry.NestedExcess(now)).To(BeEmpty(), "it is relayed once")
+		Expect(entry.Level(now.Add(time.Second), "studio", true).Excess).To(BeZero())
+	})
+
 	DescribeTable("are zero", func(loads ...call.Load) {
 		Expect(reported(loads...).Level(now, "studio", false).Excess).To(BeZero())
 	},
@@ -203,6 +217,16 @@
 		Entry("without reports"),
 	)
 
+	It("bound what nodes tell", func() {
+		nan := float32(math.NaN())
+		levels := reported(full(nan, 7), full(nan, 7), full(-1, 7))
+		Expect(levels.Level(now, "studio", false).Excess).To(BeZero())
+		Expect(levels.Level(now, "studio", true).Excess).To(BeNumerically("~", 0.9, 0.001))
+		entry := reported()
+		entry.Relay(now, "catalogue-1", map[string]float32{"studio": nan})
+		Expect(entry.Level(now, "studio", true).Excess).To(BeZero())
+	})
+
 	It("forget old reports, and keep the excess when a notice follows a report", func() {
 		levels := reported(full(0.8, 0), full(0.8, 0), full(0.8, 0))
 		levels.Report(now, "studio", "0", call.Load{Running: 6, Waiting: 1, Limit: 6})
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -20,6 +20,7 @@
 	answer := g.do(ctx, meta, c)
 	load := g.updateLoad()
 	answer.Meta.ID, answer.Meta.FromGate, answer.Meta.Load = meta.ID, true, &load
+	answer.Meta.NestedExcess = g.nestedExcess()
 	if table := g.table(); table != nil {
 		answer.Meta.Revision = table.Revision()
 	}
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -83,9 +83,11 @@
 	notifyLoad func()
 	// notifySaturation is called when the share of slots in use changes.
 	notifySaturation func()
-	blocklist        *quarantine.Blocklist
-	dial             http1.Dial
-	tomb             tomb.Tomb
+	// nestedExcess returns the excess of services that runs call.
+	nestedExcess func() map[string]float32
+	blocklist    *quarantine.Blocklist
+	dial         http1.Dial
+	tomb         tomb.Tomb
 
 	mu           sync.Mutex
 	upstream     upstream
@@ -118,6 +120,12 @@
 // WithPhaseNotify calls notifyPhase whenever the upstream's phase changes.
 func WithPhaseNotify(notifyPhase func()) Option { return func(g *Gate) { g.notifyPhase = notifyPhase } }
 
+// WithNestedExcess sets the function that returns the share of the nested calls without
+// room, by service; answers carry it.
+func WithNestedExcess(nestedExcess func() map[string]float32) Option {
+	return func(g *Gate) { g.nestedExcess = nestedExcess }
+}
+
 // WithBlocklist sets the list of requests that crash upstreams.
 func WithBlocklist(blocklist *quarantine.Blocklist) Option {
 	return func(g *Gate) { g.blocklist = blocklist }
@@ -136,7 +144,7 @@
 func NewGate(address string, table func() *route.Table, options ...Option) *Gate {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	g := &Gate{
-		clock: clock.System{}, logger: log.NewNopLogger(), address: address, table: table, notifyPhase: func() {},
+		clock: clock.System{}, logger: log.NewNopLogger(), address: address, table: table, notifyPhase: func() {}, nestedExcess: func() map[string]float32 { return nil },
 		departed: map[incarnation]struct{}{}, runs: map[string]*Run{},
 		entryNodes: map[string]time.Time{}, runTimes: map[string]*movingMean{}, notifyLoad: func() {}, notifySaturation: func() {}, restored: map[string]SaturationEstimate{},
 		blocklist: quarantine.NewBlocklist(), runLog: newRunLog(),
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -102,6 +102,9 @@
 	QueueTime time.Duration `cbor:"9,keyasint,omitempty"`
 	// NestedCalls counts the calls that the run made, by the called service.
 	NestedCalls map[string]int `cbor:"10,keyasint,omitempty"`
+	// NestedExcess is the share of the nested calls to other services without room, by
+	// service, as the gate's node sees it; empty without overload.
+	NestedExcess map[string]float32 `cbor:"13,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -60,6 +60,7 @@
 	if load := r.answer.Meta.Load; load != nil {
 		in.recordLoad(a.peer.Beacon(), *load)
 	}
+	in.levels.Relay(now, a.peer.Key(), r.answer.Meta.NestedExcess)
 	switch host := a.peer.Beacon().Host; {
 	case r.answer.Meta.FromGate:
 		in.view.RecordActivity(now, host)
--- a/ingress/level.go
+++ b/ingress/level.go
@@ -11,6 +11,10 @@
 	in.levels.Report(in.clock.Now(), b.Service, fleet.UpstreamKey(b), load)
 }
 
+// NestedExcess returns the levels for nested calls by the reports that this node got
+// itself, by service, nil without overload.
+func (in *Ingress) NestedExcess() map[string]float32 { return in.levels.NestedExcess(in.clock.Now()) }
+
 // LevelChanges returns the levels of services that began, changed much or ended since the
 // latest call.
 func (in *Ingress) LevelChanges() []admission.Level { return in.levels.TakeChanges(in.clock.Now()) }
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -64,6 +64,6 @@
 func (s *Sidecar) logLevels() {
 	for _, l := range s.ingress.LevelChanges() {
 		_ = level.Info(s.logger).Log("event", "level", "service", l.Service, "nested", l.Nested, "excess", l.Excess,
-			"reports", l.Reports, "age-ms", l.Age.Milliseconds())
+			"reports", l.Reports, "relayed", l.Relayed, "age-ms", l.Age.Milliseconds())
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -158,7 +158,8 @@
 	s.logger = log.With(s.logger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.BackendAddress(), s.table.Load, egress.WithClock(s.clock),
 		egress.WithLogger(s.logger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
-		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist))
+		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist),
+		egress.WithNestedExcess(func() map[string]float32 { return s.ingress.NestedExcess() }))
 	s.sender = newSender(s.clock, conf.Host(), conf.FailureDomain(), s.gate, &s.transfers)
 	s.ingress = ingress.New(conf.FailureDomain(), s.table.Load, s.service, s.view, s.sender,
 		ingress.WithClock(s.clock), ingress.WithParentLookup(s.gate.RecordNestedCalls), ingress.WithHost(conf.Host()), ingress.WithBlocklist(s.blocklist),
