admission, ingress: a level cuts the organisation that asks for most

One organisation at seven times its usual makes gates lose calls, and the level that followed refused requests of all organisations alike. Within the priority at the border, entry nodes now give organisations equal parts of the room, as far as they ask (max-min by their demand at this node); calls shed for their share do not count as excess.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -155,7 +155,9 @@
 	g.excess(request).arrive()
 	refusal := g.enqueue(now, pass)
 	if refusal != nil {
-		g.excess(request).lose()
+		if refusal.Reason() != call.ReasonShare {
+			g.excess(request).lose()
+		}
 		return nil, refusal
 	}
 	return pass, nil
@@ -231,7 +233,7 @@
 // shed rejects a queued pass.
 func (g *Gate) shed(pass *Pass, reason call.Reason) {
 	g.remove(pass)
-	if reason != call.ReasonCancelled && reason != call.ReasonLeaving {
+	if reason == call.ReasonOverload || reason == call.ReasonDeadline {
 		g.excess(pass.request).lose()
 	}
 	pass.refusal = call.Refuse(call.NotRun, reason)
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -27,9 +27,6 @@
 	// and their least share of those that serve, from which there is a level.
 	minReports     = 3
 	minReportShare = 0.25
-	// demandWindow is the time that the demand by priority covers: long enough for some
-	// tens of requests at an entry node.
-	demandWindow = 2 * time.Second
 	// levelLifetime is how long a merged level is used.
 	levelLifetime = 20 * time.Millisecond
 	// maxSlowdown is the slowdown from which free slots do not count, because a run
@@ -50,6 +47,8 @@
 	Nested  map[string]float64
 	// Priority is lower for more urgent requests.
 	Priority int
+	// Organisation is the organisation of the caller, "" for none.
+	Organisation string
 	// Late means that the request cannot be in time, or came back earlier than told, so
 	// that it goes after others of its priority.
 	Late bool
@@ -182,12 +181,12 @@
 	if d.Late {
 		rank++
 	}
-	level, admitted := l.admit(now, levelKey{service: d.Service}, rank, 1, d.Draw)
+	level, admitted := l.admit(now, levelKey{service: d.Service}, rank, d.Organisation, 1, d.Draw)
 	for service, calls := range d.Nested {
 		if calls < minNestedCalls {
 			continue
 		}
-		if full, ok := l.admit(now, levelKey{service: service, nested: true}, rank, calls, d.Draw); !ok {
+		if full, ok := l.admit(now, levelKey{service: service, nested: true}, rank, d.Organisation, calls, d.Draw); !ok {
 			level, admitted = full, false
 		}
 	}
@@ -195,19 +194,18 @@
 }
 
 // admit records the calls of a request and reports whether they are within the level.
-func (l *Levels) admit(now time.Time, key levelKey, rank int, calls, draw float64) (Level, bool) {
+func (l *Levels) admit(now time.Time, key levelKey, rank int, organisation string, calls, draw float64) (Level, bool) {
 	wanted := l.demands[key]
 	if wanted == nil {
-		wanted = &demand{since: now}
+		wanted = newDemand(now)
 		l.demands[key] = wanted
 	}
-	wanted.add(now, rank, calls)
+	own := wanted.add(now, rank, organisation, calls)
 	level := l.level(now, key)
 	if level.Excess == 0 {
 		return level, true
 	}
-	before, own, all := wanted.position(rank)
-	return level, before+draw*own < (1-level.Excess)*all
+	return level, wanted.within(now, own, organisation, 1-level.Excess, draw)
 }
 
 // Level returns the level of a service, for its nested calls or the others.
@@ -326,42 +324,3 @@
 	}
 	return min(float64(value), 1-minAdmittedShare)
 }
-
-// demand counts calls by rank, most urgent first, decaying over demandWindow.
-type demand struct {
-	since time.Time
-	ranks []rankDemand
-}
-
-type rankDemand struct {
-	rank  int
-	calls float64
-}
-
-// add adds calls of a rank.
-func (d *demand) add(now time.Time, rank int, calls float64) {
-	decay := math.Exp(-float64(now.Sub(d.since)) / float64(demandWindow))
-	d.since = now
-	for i := range d.ranks {
-		d.ranks[i].calls *= decay
-	}
-	i, found := slices.BinarySearchFunc(d.ranks, rank, func(r rankDemand, rank int) int { return cmp.Compare(r.rank, rank) })
-	if !found {
-		d.ranks = slices.Insert(d.ranks, i, rankDemand{rank: rank})
-	}
-	d.ranks[i].calls += calls
-}
-
-// position returns the calls of ranks before the given one, of that rank, and of all.
-func (d *demand) position(rank int) (before, own, all float64) {
-	for _, r := range d.ranks {
-		switch {
-		case r.rank < rank:
-			before += r.calls
-		case r.rank == rank:
-			own = r.calls
-		}
-		all += r.calls
-	}
-	return before, own, all
-}
--- a/admission/levels_test.go
+++ b/admission/levels_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -77,7 +78,7 @@
 		return true
 	}
 	d := admission.Demand{
-		Service: k.service, Priority: k.priority, Draw: r.rng.Float64(),
+		Service: k.service, Priority: k.priority, Organisation: k.organisation, Draw: r.rng.Float64(),
 		Late: r.now.Sub(begun)+r.meanTimes[k.service] > k.objective,
 	}
 	if k.nested != "" {
@@ -175,6 +176,25 @@
 		Expect(shares[2]).To(BeNumerically("~", 0, 0.01))
 	})
 
+	It("cut the organisation that asks for most, and others not at all", func() {
+		levels := reported(full(0.5, 0), full(0.5, 0), full(0.5, 0), full(0.5, 0))
+		admitted := map[string]int{}
+		// Hot asks for 0.7 of all: half of all leaves 0.2 for it.
+		for i := range 2000 {
+			organisation := "hot"
+			if i%10 < 3 {
+				organisation = fmt.Sprint("o-", i%10)
+			}
+			if _, ok := levels.Admit(now, admission.Demand{Service: "studio", Organisation: organisation, Draw: float64(i/10%20) / 20}); ok && i >= 1000 {
+				admitted[organisation]++
+			}
+		}
+		for i := range 3 {
+			Expect(admitted[fmt.Sprint("o-", i)]).To(Equal(100))
+		}
+		Expect(admitted["hot"]).To(BeNumerically("~", 200, 40))
+	})
+
 	It("reject by the nested calls of a run, but not by those that it does not make", func() {
 		levels := reported(full(0, 0.9), full(0, 0.9), full(0, 0.9), full(0, 0.9))
 		_, ok := levels.Admit(now, admission.Demand{Service: "catalogue", Nested: map[string]float64{"studio": 2}, Draw: 0.5})
@@ -238,3 +258,21 @@
 		Expect(levels.TakeChanges(later)).To(ConsistOf(HaveField("Excess", BeZero())))
 	})
 })
+
+func BenchmarkLevelOfManyOrganisations(b *testing.B) {
+	levels := admission.NewLevels(func(string) int { return 4 })
+	names := make([]string, 10_000)
+	for i := range names {
+		names[i] = fmt.Sprint("organisation-", i)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		at := now.Add(time.Duration(i) * 100 * time.Microsecond)
+		if i%1000 == 0 {
+			for j := range 4 {
+				levels.Report(at, "studio", fmt.Sprint(j), full(0.5, 0))
+			}
+		}
+		levels.Admit(at, admission.Demand{Service: "studio", Organisation: names[i%len(names)], Draw: 0.5})
+	}
+}
--- a/admission/replay_test.go
+++ b/admission/replay_test.go
@@ -91,7 +91,8 @@
 	}
 }
 
-func (r *replay) addGates(service string, count, slots int) {
+func (r *replay) addGates(service string, count int) {
+	const slots = 6
 	for i := range count {
 		r.gates[service] = append(r.gates[service], &replayGate{
 			gate: admission.NewGate(slots, admission.WithMaxUtilization(1)), service: service, name: fmt.Sprint(service, i), slow: 1,
--- a/admission/shares_test.go
+++ b/admission/shares_test.go
@@ -42,10 +42,11 @@
 // hotReplay plays 8 servers of 6 slots each at 0.7 of their capacity, of which "hot" has
 // a quarter and 40 others the rest by rank; from 2 s to 8 s hot asks for factor times its
 // usual.
-func hotReplay(factor float64) *replay {
+func hotReplay(factor float64, entries int) *replay {
 	const capacity, load, hotShare, others = 480.0, 0.7, 0.25, 40
 	r := newReplay(1)
-	r.addGates("catalogue", 8, 6)
+	r.addGates("catalogue", 8)
+	r.addEntries(entries, 10*time.Second)
 	add := func(organisation string, rate func(time.Duration) float64) {
 		r.offer(&kind{
 			name: "lookup", service: "catalogue", rate: rate, work: 80 * time.Millisecond, objective: 400 * time.Millisecond,
@@ -156,12 +157,12 @@
 	})
 
 	It("leave what an organisation does not use to others", func() {
-		r := hotReplay(1)
+		r := hotReplay(1, 12)
 		Expect(r.byKind["lookup"].share()).To(BeNumerically(">", 0.95))
 	})
 
-	It("serve the others of an organisation at seven times its usual as before", func() {
-		r := hotReplay(7)
+	DescribeTable("serve the others of an organisation at seven times its usual as before", func(entries int) {
+		r := hotReplay(7, entries)
 		all := r.byKind["lookup"]
 		delivered := func(t *tally) float64 { return float64(t.served+t.late) / float64(t.asked) }
 		lowest, sum := 1.0, tally{}
@@ -179,7 +180,9 @@
 		Expect(lowest).To(BeNumerically(">", 0.25*delivered(all)))
 		// Their idle share goes to the organisation that asks.
 		Expect(r.work.Seconds()).To(BeNumerically(">", 0.85*(4*0.7+6)*48))
-	})
+	},
+		Entry("by the gates alone", 0), Entry("with the levels of entry nodes", 12),
+	)
 })
 
 func BenchmarkAdmitOfManyOrganisations(b *testing.B) {
--- a/admission/waiting_test.go
+++ b/admission/waiting_test.go
@@ -36,8 +36,8 @@
 func chain(entries int, trouble bool, orders float64) *replay {
 	const end = 9 * time.Second
 	r := newReplay(2)
-	r.addGates("catalogue", 14+int(orders)/60, 6)
-	r.addGates("studio", 6, 6)
+	r.addGates("catalogue", 14+int(orders)/60)
+	r.addGates("studio", 6)
 	r.addEntries(entries, end)
 	burst := 1.0
 	if trouble {
@@ -78,7 +78,7 @@
 	const end = 10 * time.Second
 	r := newReplay(3)
 	r.ignoreObjectives = !ordered
-	r.addGates("claims", 8, 6)
+	r.addGates("claims", 8)
 	r.offer(&kind{
 		name: "claim-status", service: "claims", rate: between(2*time.Second, 6*time.Second, 290, 1.5/0.7), work: 100 * time.Millisecond,
 		objective: 500 * time.Millisecond, timeout: 3 * time.Second, retries: 2, atOnce: atOnce,
--- a/ingress/level.go
+++ b/ingress/level.go
@@ -28,7 +28,8 @@
 	early := s.elapsedBefore > 0 && s.elapsedBefore < minRetryAfter
 	_, ok := s.in.levels.Admit(s.received, admission.Demand{
 		Service: s.service, Nested: s.in.nestedCalls.measured(nestedKey{s.route.Name, s.service}), Priority: s.priority(),
-		Late: early || s.objectiveRemaining(s.received) < s.in.meanTime(s.route.Name), Draw: s.in.draw(),
+		Organisation: s.organisationName(),
+		Late:         early || s.objectiveRemaining(s.received) < s.in.meanTime(s.route.Name), Draw: s.in.draw(),
 	})
 	return ok
 }
