admission, ingress: levels for nested calls only

The level for calls of depth 0 refused at the entry node what gates reject before any work is spent. It goes: call.Load key 7 is free again.

An entry node whose view has no upstream of a service took no report of its own for enough of them and ignored what was relayed; the new spec of the ingress showed it.

--- a/admission/excess.go
+++ b/admission/excess.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// The decisions in this file answer calls that an upstream has no room for, above all
-// nested calls, each of which wastes the run that made it when it is lost. The excess
-// follows what is lost to full or slow queues, as in DAGOR and Breakwater, and not the
-// utilization: a full upstream that serves all calls in time has none.
+// The decisions in this file answer nested calls that an upstream has no room for: each
+// that is lost wastes the run that made it. The excess follows what is lost to full or
+// slow queues, as in DAGOR and Breakwater, and not the utilization: a full upstream that
+// serves all nested calls in time has none. Other calls have no excess, since the gate
+// rejects them before any work was spent.
 
 const (
 	// excessInterval is the time between two updates of the excess: about a run, since
@@ -28,12 +29,12 @@
 	minAdmittedShare = 0.1
 )
 
-// excess estimates the share of the calls of a kind, nested or not, that the upstream
-// has no room for.
+// excess estimates the share of the nested calls that the upstream has no room for.
 type excess struct {
 	// rejected is the share of the demand that there is no room for.
 	rejected float64
-	// arrivals and lost count the calls of the interval that began at since.
+	// arrivals and lost count the calls of the interval that began at since. Lost ones were
+	// rejected, gave up while queued or were delayed.
 	arrivals, lost int
 	since          time.Time
 	// waiting is the number of queued calls, and emptied means that it was 0 within the
@@ -59,12 +60,6 @@
 	e.since, e.arrivals, e.lost, e.emptied = now, 0, 0, e.waiting == 0
 }
 
-// arrive counts a call that is granted, queued or rejected.
-func (e *excess) arrive() { e.arrivals++ }
-
-// lose counts a call that was rejected, gave up while queued or was delayed.
-func (e *excess) lose() { e.lost++ }
-
 // queue changes the number of queued calls.
 func (e *excess) queue(change int) {
 	e.waiting += change
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -74,8 +74,8 @@
 	draining         bool
 	idle             chan struct{}
 	idleClosed       bool
-	// direct and nested are the excess of calls of depth 0 and of deeper ones.
-	direct, nested excess
+	// nested is the excess of nested calls.
+	nested excess
 }
 
 // Option configures a Gate.
@@ -140,52 +140,56 @@
 		return nil, call.Refuse(call.NotRun, call.ReasonDeadline)
 	}
 	g.observeNesting(request)
-	g.advanceExcess(now)
+	g.nested.advance(now)
 	g.sequence++
 	pass := &Pass{gate: g, request: request, arrived: now, sequence: g.sequence, ready: make(chan struct{})}
 	g.queue.join(pass, g.expectedServiceTime(request))
 	if g.queue.Len() == 0 && g.canStart(now, request) {
-		g.excess(request).arrive()
+		g.arrive(request)
 		g.grant(now, pass)
 		return pass, nil
 	}
 	if request.Immediate {
 		return nil, call.Refuse(call.NotRun, call.ReasonOverload)
 	}
-	g.excess(request).arrive()
+	g.arrive(request)
 	refusal := g.enqueue(now, pass)
 	if refusal != nil {
-		if refusal.Reason() != call.ReasonShare {
-			g.excess(request).lose()
-		}
+		g.lose(request, refusal.Reason())
 		return nil, refusal
 	}
 	return pass, nil
 }
 
-// excess returns the excess that the request counts for.
-func (g *Gate) excess(request Request) *excess {
+// arrive counts a call for the excess.
+func (g *Gate) arrive(request Request) {
 	if request.Depth > 0 {
-		return &g.nested
+		g.nested.arrivals++
 	}
-	return &g.direct
 }
 
-func (g *Gate) advanceExcess(now time.Time) {
-	g.direct.advance(now)
-	g.nested.advance(now)
+// lose counts a call for the excess that was not granted. What is shed for the share of its
+// organisation, or whose caller left, is no sign that there is no room.
+func (g *Gate) lose(request Request, reason call.Reason) {
+	if request.Depth > 0 && (reason == call.ReasonOverload || reason == call.ReasonDeadline) {
+		g.nested.lost++
+	}
 }
 
 // push queues a pass.
 func (g *Gate) push(pass *Pass) {
 	g.queue.push(pass)
-	g.excess(pass.request).queue(1)
+	if pass.request.Depth > 0 {
+		g.nested.queue(1)
+	}
 }
 
 // remove takes a pass out of the queue.
 func (g *Gate) remove(pass *Pass) {
 	g.queue.remove(pass)
-	g.excess(pass.request).queue(-1)
+	if pass.request.Depth > 0 {
+		g.nested.queue(-1)
+	}
 }
 
 // enqueue queues the pass unless it would miss its deadline or wait for too long; a full
@@ -233,9 +237,7 @@
 // shed rejects a queued pass.
 func (g *Gate) shed(pass *Pass, reason call.Reason) {
 	g.remove(pass)
-	if reason == call.ReasonOverload || reason == call.ReasonDeadline {
-		g.excess(pass.request).lose()
-	}
+	g.lose(pass.request, reason)
 	pass.refusal = call.Refuse(call.NotRun, reason)
 	close(pass.ready)
 }
@@ -277,7 +279,7 @@
 	pass.started = now
 	pass.shares.granted(pass.share, pass.cost)
 	if pass.delayed(now) {
-		g.nested.lose()
+		g.nested.lost++
 	}
 	close(pass.ready)
 }
@@ -339,12 +341,12 @@
 func (g *Gate) Load(now time.Time) call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.advanceExcess(now)
+	g.nested.advance(now)
 	return call.Load{
-		Running:     uint32(g.running),
-		Waiting:     uint32(g.queue.Len()),
-		Limit:       uint32(g.limitFor(now, Request{})),
-		ServiceTime: g.limiter.serviceTime,
-		Excess:      float32(g.direct.rejected), NestedExcess: float32(g.nested.rejected),
+		Running:      uint32(g.running),
+		Waiting:      uint32(g.queue.Len()),
+		Limit:        uint32(g.limitFor(now, Request{})),
+		ServiceTime:  g.limiter.serviceTime,
+		NestedExcess: float32(g.nested.rejected),
 	}
 }
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -12,7 +12,7 @@
 
 // The decisions in this file answer a service at the bottom of a chain that is full: what
 // it rejects has already cost the runs of its callers. The entry node rejects at once the
-// least urgent requests for which the services that they need have no room.
+// least urgent requests whose runs call a service without room for that.
 
 const (
 	// reportLifetime is how long the report of an upstream is valid: more than two
@@ -41,10 +41,9 @@
 
 // Demand describes a request that is new to an entry node.
 type Demand struct {
-	// Service is the service of the request, and Nested the mean number of calls that
-	// its run makes to other services, nil if that is unknown.
-	Service string
-	Nested  map[string]float64
+	// Nested is the mean number of calls that the run makes to other services, nil if that
+	// is unknown.
+	Nested map[string]float64
 	// Priority is lower for more urgent requests.
 	Priority int
 	// Organisation is the organisation of the caller, "" for none.
@@ -56,11 +55,9 @@
 	Draw float64
 }
 
-// Level is what a service has no room for, as an entry node sees it.
+// Level is what nested calls a service has no room for, as an entry node sees it.
 type Level struct {
 	Service string
-	// Nested tells whether it is for nested calls.
-	Nested bool
 	// Excess is the share of the calls without room, 0 without overload.
 	Excess float64
 	// Reports is the number of upstreams behind it, or if Relayed is set, of nodes that
@@ -70,12 +67,6 @@
 	Relayed bool
 }
 
-// levelKey identifies the nested calls, or the others, of a service.
-type levelKey struct {
-	service string
-	nested  bool
-}
-
 // Levels merges the load reports of upstreams into the levels of their services; it is
 // safe for concurrent use.
 type Levels struct {
@@ -86,8 +77,8 @@
 	// relays holds the levels for nested calls that the nodes of upstreams see, by service
 	// and upstream.
 	relays  map[string]map[string]relay
-	demands map[levelKey]*demand
-	levels  map[levelKey]*levelState
+	demands map[string]*demand
+	levels  map[string]*levelState
 }
 
 type loadReport struct {
@@ -111,8 +102,8 @@
 // service.
 func NewLevels(upstreams func(service string) int) *Levels {
 	return &Levels{
-		upstreams: upstreams, reports: map[string]map[string]loadReport{}, relays: map[string]map[string]relay{}, demands: map[levelKey]*demand{},
-		levels: map[levelKey]*levelState{},
+		upstreams: upstreams, reports: map[string]map[string]loadReport{}, relays: map[string]map[string]relay{}, demands: map[string]*demand{},
+		levels: map[string]*levelState{},
 	}
 }
 
@@ -130,7 +121,7 @@
 	}
 	if previous, ok := reports[upstream]; ok && load.ServiceTime == 0 {
 		// A notice carries the running calls and the slowdown only.
-		load.ServiceTime, load.Excess, load.NestedExcess = previous.load.ServiceTime, previous.load.Excess, previous.load.NestedExcess
+		load.ServiceTime, load.NestedExcess = previous.load.ServiceTime, previous.load.NestedExcess
 	}
 	reports[upstream] = loadReport{load: load, at: now}
 }
@@ -160,7 +151,7 @@
 	defer l.mu.Unlock()
 	var excess map[string]float32
 	for service := range l.reports {
-		level := l.level(now, levelKey{service: service, nested: true})
+		level := l.level(now, service)
 		if level.Excess == 0 || level.Relayed {
 			continue
 		}
@@ -181,12 +172,13 @@
 	if d.Late {
 		rank++
 	}
-	level, admitted := l.admit(now, levelKey{service: d.Service}, rank, d.Organisation, 1, d.Draw)
+	var level Level
+	admitted := true
 	for service, calls := range d.Nested {
 		if calls < minNestedCalls {
 			continue
 		}
-		if full, ok := l.admit(now, levelKey{service: service, nested: true}, rank, d.Organisation, calls, d.Draw); !ok {
+		if full, ok := l.admit(now, service, rank, d.Organisation, calls, d.Draw); !ok {
 			level, admitted = full, false
 		}
 	}
@@ -194,25 +186,25 @@
 }
 
 // admit records the calls of a request and reports whether they are within the level.
-func (l *Levels) admit(now time.Time, key levelKey, rank int, organisation string, calls, draw float64) (Level, bool) {
-	wanted := l.demands[key]
+func (l *Levels) admit(now time.Time, service string, rank int, organisation string, calls, draw float64) (Level, bool) {
+	wanted := l.demands[service]
 	if wanted == nil {
 		wanted = newDemand(now)
-		l.demands[key] = wanted
+		l.demands[service] = wanted
 	}
 	own := wanted.add(now, rank, organisation, calls)
-	level := l.level(now, key)
+	level := l.level(now, service)
 	if level.Excess == 0 {
 		return level, true
 	}
 	return level, wanted.within(now, own, organisation, 1-level.Excess, draw)
 }
 
-// Level returns the level of a service, for its nested calls or the others.
-func (l *Levels) Level(now time.Time, service string, nested bool) Level {
+// Level returns the level of a service.
+func (l *Levels) Level(now time.Time, service string) Level {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.level(now, levelKey{service: service, nested: nested})
+	return l.level(now, service)
 }
 
 // TakeChanges returns the levels that began, changed much or ended since the latest call,
@@ -221,20 +213,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var changed []Level
-	for key, state := range l.levels {
-		level := l.level(now, key)
+	for service, state := range l.levels {
+		level := l.level(now, service)
 		if (state.logged == 0) != (level.Excess == 0) || math.Abs(state.logged-level.Excess) >= loggedChange {
 			state.logged = level.Excess
 			changed = append(changed, level)
 		}
 		if level.Reports == 0 && state.logged == 0 {
-			delete(l.levels, key)
-			delete(l.demands, key)
-			if len(l.reports[key.service]) == 0 {
-				delete(l.reports, key.service)
+			delete(l.levels, service)
+			delete(l.demands, service)
+			if len(l.reports[service]) == 0 {
+				delete(l.reports, service)
 			}
-			if len(l.relays[key.service]) == 0 {
-				delete(l.relays, key.service)
+			if len(l.relays[service]) == 0 {
+				delete(l.relays, service)
 			}
 		}
 	}
@@ -243,41 +235,41 @@
 }
 
 // level returns the merged level of a service; l.mu is held.
-func (l *Levels) level(now time.Time, key levelKey) Level {
-	state := l.levels[key]
+func (l *Levels) level(now time.Time, service string) Level {
+	state := l.levels[service]
 	if state == nil {
 		state = &levelState{}
-		l.levels[key] = state
+		l.levels[service] = state
 	}
 	if state.mergedAt.IsZero() || now.Sub(state.mergedAt) >= levelLifetime {
-		state.Level, state.mergedAt = l.merge(now, key), now
+		state.Level, state.mergedAt = l.merge(now, service), now
 	}
 	return state.Level
 }
 
 // merge returns the mean of the reports, less by what is free. If too few upstreams have
 // reported lately, there is only what other nodes relayed.
-func (l *Levels) merge(now time.Time, key levelKey) Level {
-	level := Level{Service: key.service, Nested: key.nested}
+func (l *Levels) merge(now time.Time, service string) Level {
+	level := Level{Service: service}
 	excess, free, slots := 0.0, 0.0, 0.0
-	for upstream, report := range l.reports[key.service] {
+	for upstream, report := range l.reports[service] {
 		age := now.Sub(report.at)
 		if age > reportLifetime {
-			delete(l.reports[key.service], upstream)
+			delete(l.reports[service], upstream)
 			continue
 		}
 		load := report.load
 		level.Reports++
 		level.Age = max(level.Age, age)
 		slots += float64(load.Limit)
-		excess += excessOf(load, key.nested)
+		excess += boundedExcess(load.NestedExcess)
 		if age <= freeLifetime && load.Waiting == 0 && !load.Failing && load.Slowdown < maxSlowdown {
 			free += max(0, float64(load.Limit)-float64(load.Running))
 		}
 	}
-	serving := l.upstreams(key.service)
-	if level.Reports < min(serving, max(minReports, int(math.Ceil(minReportShare*float64(serving))))) {
-		return l.relayed(now, key)
+	serving := l.upstreams(service)
+	if level.Reports == 0 || level.Reports < min(serving, max(minReports, int(math.Ceil(minReportShare*float64(serving))))) {
+		return l.relayed(now, service)
 	}
 	if excess == 0 {
 		return level
@@ -287,15 +279,12 @@
 }
 
 // relayed returns the mean of what nodes told with answers.
-func (l *Levels) relayed(now time.Time, key levelKey) Level {
-	level := Level{Service: key.service, Nested: key.nested, Relayed: true}
-	if !key.nested {
-		return level
-	}
+func (l *Levels) relayed(now time.Time, service string) Level {
+	level := Level{Service: service, Relayed: true}
 	sum := 0.0
-	for upstream, r := range l.relays[key.service] {
+	for upstream, r := range l.relays[service] {
 		if now.Sub(r.at) > reportLifetime {
-			delete(l.relays[key.service], upstream)
+			delete(l.relays[service], upstream)
 			continue
 		}
 		level.Reports++
@@ -308,15 +297,6 @@
 	return level
 }
 
-// excessOf returns the reported share of the calls without room.
-func excessOf(load call.Load, nested bool) float64 {
-	value := load.Excess
-	if nested {
-		value = load.NestedExcess
-	}
-	return boundedExcess(value)
-}
-
 // boundedExcess returns a told excess within its bounds, 0 for NaN.
 func boundedExcess(value float32) float64 {
 	if !(value > 0) {
--- a/call/call.go
+++ b/call/call.go
@@ -111,8 +111,7 @@
 	Slowdown float32 `cbor:"5,keyasint,omitempty"`
 	// Failing is set if most of the upstream's recent answers were failures.
 	Failing bool `cbor:"6,keyasint,omitempty"`
-	// Excess is the share of the calls of depth 0 that the upstream has no room for, and
-	// NestedExcess that of the nested calls; 0 without overload.
-	Excess       float32 `cbor:"7,keyasint,omitempty"`
+	// NestedExcess is the share of the nested calls that the upstream has no room for, 0
+	// without overload.
 	NestedExcess float32 `cbor:"8,keyasint,omitempty"`
 }
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -117,7 +117,7 @@
 	if b.Slots < 0 || b.Slots > call.MaxSlots {
 		return eris.Errorf("%d slots are out of range", b.Slots)
 	}
-	for _, ratio := range []float32{b.Load.Slowdown, b.Load.Excess, b.Load.NestedExcess, b.SaturationSlowdown, b.SaturationSamples} {
+	for _, ratio := range []float32{b.Load.Slowdown, b.Load.NestedExcess, b.SaturationSlowdown, b.SaturationSamples} {
 		// The comparisons are false for NaN.
 		if !(ratio >= 0 && ratio <= math.MaxFloat32) {
 			return eris.Errorf("ratio %v is out of range", ratio)
--- a/ingress/level.go
+++ b/ingress/level.go
@@ -19,15 +19,15 @@
 // latest call.
 func (in *Ingress) LevelChanges() []admission.Level { return in.levels.TakeChanges(in.clock.Now()) }
 
-// withinLevel reports whether the services that the request needs have room for it. A
-// nested call belongs to a run that was admitted.
+// withinLevel reports whether the services that a run of the request calls have room for
+// that. A nested call belongs to a run that was admitted.
 func (s *session) withinLevel() bool {
 	if s.depth > 0 {
 		return true
 	}
 	early := s.elapsedBefore > 0 && s.elapsedBefore < minRetryAfter
 	_, ok := s.in.levels.Admit(s.received, admission.Demand{
-		Service: s.service, Nested: s.in.nestedCalls.measured(nestedKey{s.route.Name, s.service}), Priority: s.priority(),
+		Nested: s.in.nestedCalls.measured(nestedKey{s.route.Name, s.service}), Priority: s.priority(),
 		Organisation: s.organisationName(),
 		Late:         early || s.objectiveRemaining(s.received) < s.in.meanTime(s.route.Name), Draw: s.in.draw(),
 	})
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -41,7 +41,6 @@
 			"upstream_waiting":       float64(load.Waiting),
 			"upstream_limit":         float64(load.Limit),
 			"upstream_slowdown":      float64(load.Slowdown),
-			"upstream_excess":        float64(load.Excess),
 			"upstream_nested_excess": float64(load.NestedExcess),
 			"upstream_probes":        float64(s.gate.Probes()),
 		} {
@@ -63,7 +62,7 @@
 // logLevels logs the levels of services that changed since the latest call.
 func (s *Sidecar) logLevels() {
 	for _, l := range s.ingress.LevelChanges() {
-		_ = level.Info(s.logger).Log("event", "level", "service", l.Service, "nested", l.Nested, "excess", l.Excess,
+		_ = level.Info(s.logger).Log("event", "level", "service", l.Service, "excess", l.Excess,
 			"reports", l.Reports, "relayed", l.Relayed, "age-ms", l.Age.Milliseconds())
 	}
 }
