--- a/admission/gate.go
+++ b/admission/gate.go
@@ -74,6 +74,8 @@
 	draining         bool
 	idle             chan struct{}
 	idleClosed       bool
+	// nested is the excess of nested calls.
+	nested excess
 }
 
 // Option configures a Gate.
@@ -138,23 +140,58 @@
 		return nil, call.Refuse(call.NotRun, call.ReasonDeadline)
 	}
 	g.observeNesting(request)
+	g.nested.advance(now)
 	g.sequence++
-	pass := &Pass{gate: g, request: request, sequence: g.sequence, ready: make(chan struct{})}
+	pass := &Pass{gate: g, request: request, arrived: now, sequence: g.sequence, ready: make(chan struct{})}
 	g.queue.join(pass, g.expectedServiceTime(request))
 	if g.queue.Len() == 0 && g.canStart(now, request) {
+		g.arrive(request)
 		g.grant(now, pass)
 		return pass, nil
 	}
 	if request.Immediate {
 		return nil, call.Refuse(call.NotRun, call.ReasonOverload)
 	}
+	g.arrive(request)
 	refusal := g.enqueue(now, pass)
 	if refusal != nil {
+		g.lose(request, refusal.Reason())
 		return nil, refusal
 	}
 	return pass, nil
 }
 
+// arrive counts a call for the excess.
+func (g *Gate) arrive(request Request) {
+	if request.Depth > 0 {
+		g.nested.arrivals++
+	}
+}
+
+// lose counts a call for the excess that was not granted. What is shed for the share of its
+// organisation, or whose caller left, is no sign that there is no room.
+func (g *Gate) lose(request Request, reason call.Reason) {
+	if request.Depth > 0 && (reason == call.ReasonOverload || reason == call.ReasonDeadline) {
+		g.nested.lost++
+	}
+}
+
+// push queues a pass.
+func (g *Gate) push(pass *Pass) {
+	g.queue.push(pass)
+	if pass.request.Depth > 0 {
+		g.nested.queue(1)
+	}
+}
+
+// remove takes a pass out of the queue.
+func (g *Gate) remove(pass *Pass) {
+	g.queue.remove(pass)
+	if pass.request.Depth > 0 {
+		g.nested.queue(-1)
+	}
+}
+
 // enqueue queues the pass unless it would miss its deadline or wait for too long; a full
 // queue sheds a call of the least depth, and there of the organisation that holds most.
 func (g *Gate) enqueue(now time.Time, pass *Pass) *call.Refusal {
@@ -167,7 +204,7 @@
 	if maxWait > 0 && float64(ahead/limit) > waitMargin*float64(maxWait) {
 		return call.Refuse(call.NotRun, call.ReasonOverload)
 	}
-	g.queue.push(pass)
+	g.push(pass)
 	if g.queue.Len() <= g.queueCapacity() {
 		return nil
 	}
@@ -178,7 +215,7 @@
 	}
 	reason := g.queue.shedReason(last)
 	if last == pass {
-		g.queue.remove(pass)
+		g.remove(pass)
 		return call.Refuse(call.NotRun, reason)
 	}
 	g.shed(last, reason)
@@ -199,7 +236,8 @@
 
 // shed rejects a queued pass.
 func (g *Gate) shed(pass *Pass, reason call.Reason) {
-	g.queue.remove(pass)
+	g.remove(pass)
+	g.lose(pass.request, reason)
 	pass.refusal = call.Refuse(call.NotRun, reason)
 	close(pass.ready)
 }
@@ -240,6 +278,9 @@
 	pass.granted = true
 	pass.started = now
 	pass.shares.granted(pass.share, pass.cost)
+	if pass.delayed(now) {
+		g.nested.lost++
+	}
 	close(pass.ready)
 }
 
@@ -255,7 +296,7 @@
 		if !g.canStart(now, next.request) {
 			break
 		}
-		g.queue.remove(next)
+		g.remove(next)
 		g.grant(now, next)
 	}
 	if g.draining && g.running == 0 && !g.idleClosed {
@@ -300,10 +341,12 @@
 func (g *Gate) Load(now time.Time) call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.nested.advance(now)
 	return call.Load{
-		Running:     uint32(g.running),
-		Waiting:     uint32(g.queue.Len()),
-		Limit:       uint32(g.limitFor(now, Request{})),
-		ServiceTime: g.limiter.serviceTime,
+		Running:      uint32(g.running),
+		Waiting:      uint32(g.queue.Len()),
+		Limit:        uint32(g.limitFor(now, Request{})),
+		ServiceTime:  g.limiter.serviceTime,
+		NestedExcess: float32(g.nested.rejected),
 	}
 }
--- a/call/call.go
+++ b/call/call.go
@@ -113,4 +113,7 @@
 	Failing bool `cbor:"6,keyasint,omitempty"`
 	// Cold is set while the upstream tolerates only a low rate of calls.
 	Cold bool `cbor:"9,keyasint,omitempty"`
+	// NestedExcess is the share of the nested calls that the upstream has no room for, 0
+	// without overload.
+	NestedExcess float32 `cbor:"8,keyasint,omitempty"`
 }
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -22,6 +22,7 @@
 	answer.Meta.GateTime = g.clock.Now().Sub(arrived)
 	load := g.updateLoad()
 	answer.Meta.ID, answer.Meta.FromGate, answer.Meta.Load = meta.ID, true, &load
+	answer.Meta.NestedExcess = g.nestedExcess()
 	if table := g.table(); table != nil {
 		answer.Meta.Revision = table.Revision()
 	}
@@ -151,7 +152,11 @@
 }
 
 func (g *Gate) abandon(pass *admission.Pass, reason call.Reason) call.Reason {
-	if pass.Abandon() {
+	abandon := pass.Abandon
+	if reason == call.ReasonOverload {
+		abandon = pass.Expire
+	}
+	if abandon() {
 		pass.End(g.clock.Now(), false)
 	}
 	return reason
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -131,7 +131,7 @@
 	if b.EvacuationRevision > maxRevision {
 		return eris.Errorf("evacuation revision %d is out of range", b.EvacuationRevision)
 	}
-	for _, ratio := range []float32{b.Load.Slowdown, b.SaturationSlowdown, b.SaturationSamples} {
+	for _, ratio := range []float32{b.Load.Slowdown, b.Load.NestedExcess, b.SaturationSlowdown, b.SaturationSamples} {
 		// The comparisons are false for NaN.
 		if !(ratio >= 0 && ratio <= math.MaxFloat32) {
 			return eris.Errorf("ratio %v is out of range", ratio)
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -105,6 +105,9 @@
 	// GateTime is the time from the arrival of the call at the gate to its answer, with
 	// QueueTime, 0 if the gate does not report it.
 	GateTime time.Duration `cbor:"17,keyasint,omitempty"`
+	// NestedExcess is the share of the nested calls to other services without room, by
+	// service, as the gate's node sees it; empty without overload.
+	NestedExcess map[string]float32 `cbor:"13,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -16,6 +16,7 @@
 		s.updateLeavingGauges()
 		s.logRetryUsage()
 		s.quotas.report()
+		s.logLevels()
 		if round%transferLogRounds == 0 {
 			s.logTransfers()
 		}
@@ -52,6 +53,7 @@
 			"upstream_slowdown":         float64(load.Slowdown),
 			"upstream_probes":           float64(s.gate.Probes()),
 			"upstream_cold":             cold,
+			"upstream_nested_excess":    float64(load.NestedExcess),
 		} {
 			s.gauge(name, value)
 		}
@@ -67,3 +69,11 @@
 			"uptime-ms", s.clock.Now().Sub(s.started).Milliseconds())
 	}
 }
+
+// logLevels logs the levels of services that changed since the latest call.
+func (s *Sidecar) logLevels() {
+	for _, l := range s.ingress.LevelChanges() {
+		_ = level.Info(s.logger).Log("event", "level", "service", l.Service, "excess", l.Excess,
+			"reports", l.Reports, "relayed", l.Relayed, "age-ms", l.Age.Milliseconds())
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -175,7 +175,8 @@
 		egress.WithWarmupBounds(func() (float64, float64) {
 			conf := s.settings.Load()
 			return conf.WarmupOverage(), conf.WarmupSlack()
-		}))
+		}),
+		egress.WithNestedExcess(func() map[string]float32 { return s.ingress.NestedExcess() }))
 	s.transfers.way = s.way
 	s.sender = newSender(s.clock, conf.Host(), s.gate, &s.transfers)
 	s.quotas = newQuotas(s)
