--- a/ingress/permission_test.go
+++ b/ingress/permission_test.go
@@ -168,3 +168,73 @@
 		Expect(domainsOf(sender.attempts())).To(Equal(map[string]bool{"z4": true}))
 	})
 })
+
+var _ = Describe("a request that must stay in some regions", func() {
+	abroad := organisation.WithRegions("south", "west")
+
+	DescribeTable("reaches, and has its body sent to, no other after",
+		func(answer func() *egress.Answer) {
+			s := spread{
+				table: newTable([]route.Route{stockRoute("south")}), do: func(string, hop.Meta) *egress.Answer { return answer() },
+			}
+			sender, address := s.start()
+			for range 5 {
+				get(address, "a")
+			}
+			attempts := sender.attempts()
+			Expect(len(attempts)).To(BeNumerically(">=", 10))
+			Expect(domainsOf(attempts)).To(Equal(map[string]bool{"z3": true, "z4": true}))
+		}, furtherAttempts)
+
+	DescribeTable("is bound by both its route and its organisation",
+		func(routeRegions []string, want map[string]bool, organisationRegions ...string) {
+			s := spread{
+				table: newTable([]route.Route{stockRoute(routeRegions...)}, newOrganisation("shop", organisation.WithRegions(organisationRegions...))),
+				do:    rejectAll,
+			}
+			sender, address := s.start()
+			began := time.Now()
+			for range 10 {
+				Expect(ask(address, "a", withKey("shop-key")).StatusCode).To(Equal(http.StatusServiceUnavailable))
+			}
+			Expect(domainsOf(sender.attempts())).To(Equal(want))
+			if len(want) == 0 {
+				Expect(time.Since(began)).To(BeNumerically("<", time.Second), "each is rejected at once")
+				Expect(s.reasons).To(Receive(Equal(call.ReasonNoRegion)))
+			}
+		},
+		Entry("neither", nil, map[string]bool{"z1": true, "z2": true, "z3": true, "z4": true}),
+		Entry("the organisation", nil, map[string]bool{"z3": true, "z4": true}, "south"),
+		Entry("the route", []string{"north"}, map[string]bool{"z1": true, "z2": true}),
+		Entry("both", []string{"north", "south"}, map[string]bool{"z3": true, "z4": true}, "south", "west"),
+		Entry("both, with none in common", []string{"north"}, map[string]bool{}, "south"),
+		Entry("a region without upstreams", []string{"west"}, map[string]bool{}),
+	)
+
+	It("is rejected at once if the rest is evacuated", func() {
+		known := newEvacuation()
+		known.set(2, "z3", "z4")
+		s := spread{
+			table:   newTable([]route.Route{stockRoute()}, newOrganisation("shop", abroad)),
+			options: []ingress.Option{ingress.WithEvacuation(known.get)},
+		}
+		sender, address := s.start()
+		Expect(ask(address, "a", withKey("shop-key")).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(s.reasons).To(Receive(Equal(call.ReasonEvacuated)))
+		Expect(sender.attempts()).To(BeEmpty())
+	})
+
+	It("keeps to the regions of its run's organisation if it is a nested call", func() {
+		s := spread{
+			table: newTable([]route.Route{stockRoute()}, newOrganisation("shop", abroad)), do: rejectAll,
+			options: []ingress.Option{ingress.WithParentLookup(func(id, _ string, _ int) (egress.Run, bool) {
+				return egress.Run{Organisation: "shop"}, id == "running"
+			})},
+		}
+		sender, address := s.start()
+		for range 5 {
+			ask(address, "running.1")
+		}
+		Expect(domainsOf(sender.attempts())).To(Equal(map[string]bool{"z3": true, "z4": true}))
+	})
+})
