--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -12,6 +12,7 @@
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/route"
 )
 
 const (
@@ -167,6 +168,9 @@
 // not newer than the one in force.
 func (s *Sidecar) applyConfiguration(data []byte, source string) {
 	table, err := platform.DecodeConfiguration(data)
+	if err == nil {
+		err = s.checkRegions(table)
+	}
 	if err != nil {
 		_ = level.Error(s.logger).Log("event", "configuration-refused", "source", source, "err", err)
 		return
@@ -190,6 +194,21 @@
 	}
 }
 
+// checkRegions returns an error if the configuration names a region that the settings,
+// which have some, do not.
+func (s *Sidecar) checkRegions(table *route.Table) error {
+	conf := s.settings.Load()
+	if len(conf.FailureDomains()) == 0 {
+		return nil
+	}
+	for _, region := range table.Regions() {
+		if !conf.HasRegion(region) {
+			return eris.Errorf("the settings have no region %q", region)
+		}
+	}
+	return nil
+}
+
 // fetchConfigurations fetches newer configurations from the nodes that have
 // them.
 func (s *Sidecar) fetchConfigurations() error {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -45,6 +45,8 @@
 	ids    int
 	// firstStart means that the hosts start as parts of a new fleet.
 	firstStart bool
+	// settings is appended to the settings of the hosts that are added.
+	settings string
 }
 
 func newTestFleet() *testFleet {
@@ -135,7 +137,7 @@
 		Backend: backend.Address(), Callers: freeAddress(), Nodes: freeAddress(), Datagrams: freeAddress(),
 		Ready: freeAddress(), Upstream: freeAddress(), Metrics: freeAddress(),
 		FirstStart: f.firstStart,
-	}.TOML()
+	}.TOML() + f.settings
 	conf, err := settings.ParseSidecar("sidecar.toml", []byte(text))
 	Expect(err).NotTo(HaveOccurred())
 	h := &host{name: name, backend: backend, conf: conf}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -16,6 +16,7 @@
 // Run is one execution of a request at a Backend.
 type Run struct {
 	ID, Method, Target, Body, Caller string
+	Header                           http.Header
 	At                               time.Time
 }
 
@@ -236,7 +237,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	b.recordRun(Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Caller: r.Header.Get("Caller-Service"), At: time.Now()})
+	b.recordRun(Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Caller: r.Header.Get("Caller-Service"), Header: r.Header, At: time.Now()})
 	select {
 	case <-time.After(serviceTime):
 	case <-r.Context().Done():
