ingress, routing, fleet, hop: send cold upstreams only what they still take

A call that the gate of a cold upstream rejected used up its picks, so it ended with a refusal although warm upstreams were left, and its caller came back before the cold ones had room. Cold upstreams cost half their capacity more in placement.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -18,6 +18,9 @@
 func (g *Gate) Do(ctx context.Context, meta hop.Meta, c *Call) *Answer {
 	g.recordEntryNode(meta.EntryHost)
 	answer := g.do(ctx, meta, c)
+	if answer.Meta.Reason == call.ReasonWarming {
+		answer.Meta.RoomIn = g.roomIn(meta.Service)
+	}
 	load := g.updateLoad()
 	answer.Meta.ID, answer.Meta.FromGate, answer.Meta.Load = meta.ID, true, &load
 	if table := g.table(); table != nil {
--- a/egress/warmup.go
+++ b/egress/warmup.go
@@ -157,6 +157,15 @@
 	g.warmup.limiter.Return(place)
 }
 
+// roomIn returns when a call that comes later than those that wait can be sent.
+func (g *Gate) roomIn(service string) time.Duration {
+	bounds := g.warmupBounds(service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	return max(0, g.warmup.limiter.NextRoom(now, bounds, g.warmup.waiting).Sub(now))
+}
+
 // requestProbe wakes the probe loop; g.mu is held.
 func (g *Gate) requestProbe() {
 	select {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -100,6 +100,19 @@
 		Expect(v.Peers()[0].Beacon().CallAddress).To(Equal("10.0.0.9:1"))
 	})
 
+	It("keeps an upstream cold when a notice says nothing about it", func() {
+		v := fleet.NewView()
+		b := beacon("a", 1, 5)
+		b.Load.Cold = true
+		v.Merge(start, b)
+		got, ok := v.ApplyNotice(start, b.GossipAddress, fleet.NewNotice(6, call.Load{Running: 1, Limit: 1}))
+		Expect(ok).To(BeTrue())
+		Expect(got.Load.Cold).To(BeTrue())
+		b.Sequence, b.Load.Cold = 7, false
+		v.Merge(start, b)
+		Expect(v.Peers()[0].Beacon().Load.Cold).To(BeFalse())
+	})
+
 	It("applies load notices by the source address", func() {
 		v := fleet.NewView()
 		b := beacon("a", 1, 5)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -169,7 +169,10 @@
 			continue
 		}
 		b := *peer.beacon
+		// A notice does not say whether the upstream is cold.
+		cold := b.Load.Cold
 		b.Sequence, b.Load = n.Sequence, n.Load()
+		b.Load.Cold = cold
 		peer.update(&b)
 		peer.lastReceived = now
 		return &b, true
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -99,6 +99,8 @@
 	QueueTime time.Duration `cbor:"9,keyasint,omitempty"`
 	// NestedCalls counts the calls that the run made, by the called service.
 	NestedCalls map[string]int `cbor:"10,keyasint,omitempty"`
+	// RoomIn is when a cold upstream that rejected the call can be sent another one.
+	RoomIn time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -45,7 +45,7 @@
 // refuse answers that the request has not run, with a Retry-After header.
 func (s *session) refuse(reason call.Reason) {
 	header := http.Header{}
-	platform.SetRetryAfter(header, s.in.jittered(minRetryAfter, retryAfterSpread))
+	platform.SetRetryAfter(header, s.in.jittered(max(minRetryAfter, s.roomIn), retryAfterSpread))
 	s.answer(http.StatusServiceUnavailable, call.NotRun, reason, header)
 }
 
--- a/ingress/placement.go
+++ b/ingress/placement.go
@@ -49,6 +49,7 @@
 	transferCost := s.in.policy.TransferCost(s.transferBytes())
 	mayReturn := !hedge && transferCost >= queueTransferCost
 	mustStay := hedge && transferCost >= localTransferCost
+	all = s.withoutWarming(all)
 	untried := make([]fleet.Peer, 0, len(all))
 	for _, peer := range all {
 		if mustStay && !s.local(peer) {
@@ -93,7 +94,7 @@
 	var free []fleet.Peer
 	for _, peer := range peers {
 		load := peer.Beacon().Load
-		if s.local(peer) && !peer.Silent() && !load.Failing && load.Running < load.Limit {
+		if s.local(peer) && !peer.Silent() && !load.Failing && load.Running < load.Limit && !(load.Cold && load.Waiting > 0) {
 			free = append(free, peer)
 		}
 	}
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -63,6 +63,10 @@
 	tried         map[string]bool
 	declinedLocal map[string]bool
 	inFlight      []*attempt
+	// warming holds the hosts whose gates rejected the request as their upstreams are
+	// cold, and roomIn is when the first of them has room, 0 for none.
+	warming map[string]bool
+	roomIn  time.Duration
 	// picks counts the upstreams chosen, and queuedPicks those of them whose gate
 	// may queue the request.
 	picks       int
@@ -162,7 +166,9 @@
 			s.in.retryBudgets.refund(s.in.clock.Now(), r.attempt.charge)
 		}
 		s.reason = meta.Reason
-		if r.attempt.declinable && meta.FromGate && s.local(r.attempt.peer) {
+		if meta.Reason == call.ReasonWarming {
+			s.recordWarming(r.attempt, meta.RoomIn)
+		} else if r.attempt.declinable && meta.FromGate && s.local(r.attempt.peer) {
 			s.declinedLocal[r.attempt.peer.Beacon().Host] = true
 		}
 	case meta.Outcome == call.NotRun:
--- a/routing/least_cost.go
+++ b/routing/least_cost.go
@@ -32,6 +32,9 @@
 	// failingCost is the cost of an upstream that mostly fails: more than load,
 	// distance and slowdown together.
 	failingCost = 4
+	// coldCost is the cost of a cold upstream beside its load: more than that of another
+	// failure domain, and less than that of a full upstream.
+	coldCost = 0.5
 	// connFailureCost is the penalty after a failed connection, more than the cost
 	// of a full upstream. It halves every connFailureHalfLife, within which a
 	// killed process has restarted.
@@ -178,6 +181,9 @@
 	if age < slowdownLifetime {
 		cost += slowdownCost(u.load)
 	}
+	if age < loadLifetime && u.load.Cold {
+		cost += coldCost
+	}
 	if age < loadLifetime && u.load.Failing {
 		cost += failingCost
 	}
--- a/routing/least_cost_test.go
+++ b/routing/least_cost_test.go
@@ -53,6 +53,15 @@
 		Expect(chosen(p, at, remote.WithTransferBytes(booking), local.WithTransferBytes(booking))["remote"]).To(Equal(100))
 	})
 
+	It("prefers a warm upstream, also of another failure domain, until that is busy", func() {
+		p := policy()
+		p.UpdateLoad(at, "local", call.Load{Limit: 2, Slowdown: 1, Cold: true})
+		Expect(chosen(p, at, local, other)["other"]).To(Equal(100))
+		Expect(chosen(p, at, local, remote)["remote"]).To(Equal(100))
+		p.UpdateLoad(at, "remote", call.Load{Running: 8, Limit: 10, Slowdown: 1})
+		Expect(chosen(p, at, local, remote)["local"]).To(Equal(100))
+	})
+
 	It("avoids a slowed host for as long as the report is valid", func() {
 		p := policy()
 		p.UpdateLoad(at, "local", call.Load{Limit: 10, Slowdown: 5})
