--- a/cmd/banyancross/where.go
+++ b/cmd/banyancross/where.go
@@ -101,14 +101,14 @@
 			return err
 		}
 	}
-	t := table{columns: []string{"host", "upstream", "failure domain", "way", "load", "slowdown", "failing", "connections", "total", "excluded"}}
+	t := table{columns: []string{"host", "upstream", "failure domain", "way", "load", "slowdown", "cold", "failing", "connections", "total", "excluded"}}
 	for _, u := range p.Peers {
 		if u.Excluded != "" {
-			t.addRow(u.Host, u.Upstream, u.FailureDomain, "", "", "", "", "", "", u.Excluded)
+			t.addRow(u.Host, u.Upstream, u.FailureDomain, "", "", "", "", "", "", "", u.Excluded)
 			continue
 		}
 		t.addRow(u.Host, u.Upstream, u.FailureDomain, cost(u.Cost.Way), cost(u.Cost.Load), cost(u.Cost.Slowdown),
-			cost(u.Cost.Failing), cost(u.Cost.Connections), cost(u.Total), "")
+			cost(u.Cost.Cold), cost(u.Cost.Failing), cost(u.Cost.Connections), cost(u.Total), "")
 	}
 	if err := t.writeAligned(c); err != nil {
 		return err
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -20,6 +20,9 @@
 	arrived := g.clock.Now()
 	answer := g.do(ctx, meta, c)
 	answer.Meta.GateTime = g.clock.Now().Sub(arrived)
+	if answer.Meta.Reason == call.ReasonWarming {
+		answer.Meta.RoomIn = g.roomIn(meta.Service)
+	}
 	load := g.updateLoad()
 	answer.Meta.ID, answer.Meta.FromGate, answer.Meta.Load = meta.ID, true, &load
 	answer.Meta.NestedExcess = g.nestedExcess()
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -108,6 +108,8 @@
 	// NestedExcess is the share of the nested calls to other services without room, by
 	// service, as the gate's node sees it; empty without overload.
 	NestedExcess map[string]float32 `cbor:"13,keyasint,omitempty"`
+	// RoomIn is when a cold upstream that rejected the call can be sent another one.
+	RoomIn time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -10,6 +10,8 @@
 	Load float64 `json:"load"`
 	// Slowdown is the cost of a host that works slower than normally.
 	Slowdown float64 `json:"slowdown"`
+	// Cold is the cost of an upstream that tolerates only a low rate of calls.
+	Cold float64 `json:"cold"`
 	// Failing is the cost of an upstream that mostly fails.
 	Failing float64 `json:"failing"`
 	// Connections is the cost of connections that failed lately.
@@ -17,7 +19,9 @@
 }
 
 // Total returns the sum of the parts.
-func (c Cost) Total() float64 { return c.Way + c.Load + c.Slowdown + c.Failing + c.Connections }
+func (c Cost) Total() float64 {
+	return c.Way + c.Load + c.Slowdown + c.Cold + c.Failing + c.Connections
+}
 
 // Costs returns the costs by which Choose compares the candidates, without the random part
 // of up to maxJitter that it adds to each, and changes nothing.
--- a/routing/least_cost.go
+++ b/routing/least_cost.go
@@ -32,6 +32,9 @@
 	// failingCost is the cost of an upstream that mostly fails: more than load,
 	// distance and slowdown together.
 	failingCost = 4
+	// coldCost is the cost of a cold upstream beside its load: more than that of another
+	// failure domain, and less than that of a full upstream.
+	coldCost = 0.5
 	// connFailureCost is the penalty after a failed connection, more than the cost
 	// of a full upstream. It halves every connFailureHalfLife, within which a
 	// killed process has restarted.
@@ -187,6 +190,9 @@
 	if age < slowdownLifetime {
 		cost.Slowdown = slowdownCost(u.load)
 	}
+	if age < loadLifetime && u.load.Cold {
+		cost.Cold = coldCost
+	}
 	if age < loadLifetime && u.load.Failing {
 		cost.Failing = failingCost
 	}
