locality, routing: a domain whose upstreams take no calls counts as one without any

A domain of which all upstreams fail, or whose connections failed a second ago, had a utilization near zero, so that first attempts stayed there until its nodes were silent.

--- a/ingress/error.go
+++ b/ingress/error.go
@@ -20,8 +20,9 @@
 	message string
 }
 
-func newError(op string, kind Kind, message string) *Error {
-	return &Error{op: op, kind: kind, message: message}
+// newError returns an Error of Where.
+func newError(kind Kind, message string) *Error {
+	return &Error{op: "where", kind: kind, message: message}
 }
 
 // Kind returns the kind of the error.
--- a/ingress/where.go
+++ b/ingress/where.go
@@ -116,10 +116,10 @@
 		request: &http1.Request{Method: cmp.Or(q.Method, http.MethodGet), Host: q.Host, Target: q.Path, Header: http.Header{}},
 	}
 	if s.table == nil {
-		return nil, newError("where", KindNoConfiguration, "no configuration is in force")
+		return nil, newError(KindNoConfiguration, "no configuration is in force")
 	}
 	if s.route = s.table.Match(q.Host, s.request.Path()); s.route == nil {
-		return nil, newError("where", KindUnknown, fmt.Sprintf("no route matches host %q and path %q", q.Host, q.Path))
+		return nil, newError(KindUnknown, fmt.Sprintf("no route matches host %q and path %q", q.Host, q.Path))
 	}
 	s.service = s.route.PeekService()
 	if q.Service != "" {
@@ -129,13 +129,13 @@
 			names = append(names, target.Service)
 		}
 		if !slices.Contains(names, q.Service) {
-			return nil, newError("where", KindUnknown, fmt.Sprintf("route %q leads to %s, not to service %q", s.route.Name, strings.Join(names, ", "), q.Service))
+			return nil, newError(KindUnknown, fmt.Sprintf("route %q leads to %s, not to service %q", s.route.Name, strings.Join(names, ", "), q.Service))
 		}
 	}
 	if q.Organisation != "" {
 		var found bool
 		if s.organisation, found = s.table.Organisations().Named(q.Organisation); !found {
-			return nil, newError("where", KindUnknown, fmt.Sprintf("no organisation %q", q.Organisation))
+			return nil, newError(KindUnknown, fmt.Sprintf("no organisation %q", q.Organisation))
 		}
 	}
 	return s, nil
--- a/locality/decider.go
+++ b/locality/decider.go
@@ -81,7 +81,7 @@
 	// Delay is the round trip.
 	Delay time.Duration
 	// Load is the number of calls that run and wait there, and Limit the number that may
-	// run.
+	// run, 0 if no upstream takes calls.
 	Load, Limit float64
 	// Age is the mean age of the reports of the load.
 	Age time.Duration
@@ -165,7 +165,7 @@
 	}
 	st.adjust(now, d.measure(call, domains))
 	options := d.weigh(st, call, domains)
-	draw, chosen := d.rng.Float64(), 0
+	draw, chosen := d.rng.Float64(), max(indexOf(domains, Within), 0)
 	for i, option := range options {
 		if option.Share == 0 {
 			continue
@@ -178,7 +178,7 @@
 	switch {
 	case options[chosen].Way == Within:
 		return chosen, ReasonStays
-	case indexOf(domains, Within) < 0:
+	case homeOf(domains) < 0:
 		return chosen, ReasonNoUpstream
 	}
 	return chosen, ReasonRoom
@@ -237,7 +237,7 @@
 		cost := d.WayCost(call, domain).Cost()
 		switch domain.Way {
 		case Within:
-			l.home, l.hasHome = domain.utilization(), true
+			l.home, l.hasHome = domain.utilization(), domain.Limit > 0
 		case BetweenDomains:
 			nearLoad, nearLimit, l.hasNear = nearLoad+domain.Load, nearLimit+domain.Limit, true
 			nearCost = min(nearCost, cost)
@@ -302,7 +302,7 @@
 		room[domain.Way] += options[i].Room
 		limit[domain.Way] += domain.Limit
 	}
-	home := indexOf(domains, Within)
+	home := homeOf(domains)
 	l := d.measure(call, domains)
 	near := st.near
 	if limit[BetweenDomains] == 0 {
@@ -339,6 +339,21 @@
 	return options
 }
 
+// homeOf returns the index of the own domain, -1 if it has no upstream that takes calls
+// while another domain has one.
+func homeOf(domains []Domain) int {
+	home := indexOf(domains, Within)
+	if home < 0 || domains[home].Limit > 0 {
+		return home
+	}
+	for _, domain := range domains {
+		if domain.Limit > 0 {
+			return -1
+		}
+	}
+	return home
+}
+
 // indexOf returns the index of the first domain on a kind of way, -1 if there is none.
 func indexOf(domains []Domain, way Way) int {
 	for i, domain := range domains {
--- a/locality/locality_test.go
+++ b/locality/locality_test.go
@@ -94,6 +94,23 @@
 		}
 	})
 
+	It("leaves a domain whose upstreams take no calls, and stays if none does anywhere", func() {
+		all := domains(0, 0, 0)
+		all[0].Limit = 0
+		for range 100 {
+			chosen, reason := decider.Choose(start, call, all)
+			Expect(chosen).To(Equal(1))
+			Expect(reason).To(Equal(locality.ReasonNoUpstream))
+		}
+		all[1].Limit = 0
+		chosen, _ := decider.Choose(start, call, all)
+		Expect(chosen).To(Equal(2))
+		all[2].Limit = 0
+		chosen, reason := decider.Choose(start, call, all)
+		Expect(chosen).To(Equal(0))
+		Expect(reason).To(Equal(locality.ReasonStays))
+	})
+
 	It("counts old news of room for less", func() {
 		all := append(domains(30, 4, 0), locality.Domain{Name: "stale", Way: locality.BetweenDomains, Delay: time.Millisecond, Load: 4, Limit: 20, Age: 3 * time.Second})
 		counts := choose(start, call, all)
