--- a/ingress/where.go
+++ b/ingress/where.go
@@ -188,7 +188,8 @@
 	{"absent", func(_ *session, peer fleet.Peer) bool { return peer.Beacon().Phase != fleet.Ready }},
 	{"stopping", func(_ *session, peer fleet.Peer) bool { return peer.Beacon().Stopping }},
 	{"silent", func(_ *session, peer fleet.Peer) bool { return peer.Silent() }},
-	{"region", func(s *session, peer fleet.Peer) bool { return len(s.permitted([]fleet.Peer{peer})) == 0 }},
+	{"evacuated", func(s *session, peer fleet.Peer) bool { return len(s.notEvacuated([]fleet.Peer{peer})) == 0 }},
+	{"region", func(s *session, peer fleet.Peer) bool { return len(s.inAllowedRegions([]fleet.Peer{peer})) == 0 }},
 }
 
 // addExcluded adds the upstreams of the service that are not among the candidates.
