--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"os"
 	"slices"
 	"time"
@@ -267,16 +268,23 @@
 }
 
 func (c *checker) positive(value float64, path ...string) float64 {
-	if value <= 0 {
+	if !(value > 0) {
 		c.fail(path, "key %q: %v is not above zero", dottedKey(path), value)
 	}
-	return value
+	return c.finite(value, path...)
 }
 
 func (c *checker) notNegative(value float64, path ...string) float64 {
 	if !(value >= 0) {
 		c.fail(path, "key %q: %v is below zero", dottedKey(path), value)
 	}
+	return c.finite(value, path...)
+}
+
+func (c *checker) finite(value float64, path ...string) float64 {
+	if math.IsInf(value, 0) {
+		c.fail(path, "key %q: %v is not finite", dottedKey(path), value)
+	}
 	return value
 }
 
