egress, warmup: believe warmup reports of failing status checks, and missing ones of upstreams that never say 0

The status of a health response may be false, and then no report counted. What it says of the warmup now counts whatever the status. A healthy response that says nothing counts as warm only if this upstream never reports 0 and no earlier report says cold until later; otherwise such an upstream would keep the rate of a cold one between two heartbeats. A probe is due from 0.4 of the places, as one takes far less time than a burst needs for the rest. Retry-After depends on the room only where the refusal is warming.

The spec fails without either half of the rule.

--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -258,8 +258,12 @@
 	_, _, _ = response.Body.Buffer(maxHealthBody)
 	answer := platform.ReadResponseHeaders(response.Status, response.Header)
 	g.recordReport(target{instance: instance, pool: pool}, answer, response.Header)
-	if response.Status == http.StatusOK && answer.Instance() == instance {
-		g.recordProbeWarmup(instance, asked, answer)
+	if answer.Instance() != instance {
+		return
+	}
+	healthy := response.Status == http.StatusOK
+	g.recordProbeWarmup(instance, asked, answer, healthy)
+	if healthy {
 		g.confirm(instance)
 	}
 }
--- a/egress/warmup.go
+++ b/egress/warmup.go
@@ -205,8 +205,10 @@
 	}
 }
 
-// recordProbeWarmup records what the good answer to a probe sent at asked says.
-func (g *Gate) recordProbeWarmup(instance string, asked time.Time, answer platform.ResponseHeaders) {
+// recordProbeWarmup records what the answer to a probe sent at asked says. An upstream
+// that never reports a warmup of 0 is warm if it is healthy and reports none, unless it
+// said before that it is cold until later.
+func (g *Gate) recordProbeWarmup(instance string, asked time.Time, answer platform.ResponseHeaders, healthy bool) {
 	left, told := answer.Warmup()
 	now := g.clock.Now()
 	g.mu.Lock()
@@ -214,7 +216,7 @@
 	if told && left == 0 {
 		g.warmup.saysWarm = true
 	}
-	if g.upstream.instance == instance && (told || !g.warmup.saysWarm && !g.warmup.limiter.Cold(now)) {
+	if g.upstream.instance == instance && (told || healthy && !g.warmup.saysWarm && !g.warmup.limiter.Cold(now)) {
 		logChange = g.recordWarmup(now, asked, left, "health")
 	}
 	g.mu.Unlock()
--- a/egress/warmup_test.go
+++ b/egress/warmup_test.go
@@ -203,6 +203,32 @@
 		Expect(room).To(Equal(int(warmupRate * warmupOverage)))
 	})
 
+	It("believes reports of an upstream whose status check fails, and takes a missing one for warm only if it never says warm", func() {
+		backend := newBackend()
+		backend.SetWarmup(standin.NoWarmupReport)
+		gate := newWarmupGate(backend, warmupRate)
+		readyWarm(gate, backend)
+		room := func() int { room, _ := gate.WarmupRoom(); return room }
+		fill := func(name string) {
+			for i := 0; room() > 3; i++ {
+				do(gate, meta(fmt.Sprintf("%s-%d", name, i)))
+			}
+		}
+		fill("a")
+		Eventually(room).WithTimeout(900*time.Millisecond).Should(BeNumerically(">", 10), "the answers to probes say nothing, so it is warm")
+		backend.SetWarmup(0)
+		fill("b")
+		Eventually(room).WithTimeout(900 * time.Millisecond).Should(BeNumerically(">", 10))
+		backend.SetWarmup(standin.NoWarmupReport)
+		time.Sleep(1200 * time.Millisecond)
+		fill("c")
+		Consistently(room).WithTimeout(300*time.Millisecond).Should(BeNumerically("<=", 3), "now nobody knows")
+		backend.SetHealthy(false)
+		backend.SetWarmup(time.Hour)
+		do(gate, meta("d"))
+		Eventually(func() bool { return gate.Load().Cold }).WithTimeout(900 * time.Millisecond).Should(BeTrue())
+	})
+
 	It("costs a service without a warmup rate nothing", func() {
 		backend := newBackend()
 		backend.SetWarmup(time.Hour)
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -45,7 +45,11 @@
 // refuse answers that the request has not run, with a Retry-After header.
 func (s *session) refuse(reason call.Reason) {
 	header := http.Header{}
-	platform.SetRetryAfter(header, s.in.jittered(max(minRetryAfter, s.roomIn), retryAfterSpread))
+	wait := minRetryAfter
+	if reason == call.ReasonWarming {
+		wait = max(wait, s.roomIn)
+	}
+	platform.SetRetryAfter(header, s.in.jittered(wait, retryAfterSpread))
 	s.answer(http.StatusServiceUnavailable, call.NotRun, reason, header)
 }
 
--- a/warmup/limiter.go
+++ b/warmup/limiter.go
@@ -23,7 +23,7 @@
 	presumedSlackShare = 0.75
 	// reportShare is the share of the places taken since the last report from which
 	// another report is due, so that it arrives before a burst takes the others.
-	reportShare = 0.25
+	reportShare = 0.4
 	// coldReportInterval is the interval between reports of a cold upstream in use.
 	coldReportInterval = 500 * time.Millisecond
 )
