--- a/ingress/placement.go
+++ b/ingress/placement.go
@@ -94,7 +94,7 @@
 	var free []fleet.Peer
 	for _, peer := range peers {
 		load := peer.Beacon().Load
-		if s.local(peer) && !peer.Silent() && !load.Failing && load.Running < load.Limit && !(load.Cold && load.Waiting > 0) {
+		if s.local(peer) && !peer.Silent() && !load.Failing && load.Running < load.Limit && (!load.Cold || load.Waiting == 0) {
 			free = append(free, peer)
 		}
 	}
