--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -45,6 +45,8 @@
 	ids    int
 	// firstStart means that the hosts start as parts of a new fleet.
 	firstStart bool
+	// bounds is added to the bounds in the settings.
+	bounds string
 }
 
 func newTestFleet() *testFleet {
@@ -129,7 +131,7 @@
 		Backend: backend.Address(), Callers: freeAddress(), Nodes: freeAddress(), Datagrams: freeAddress(),
 		Ready: freeAddress(), Upstream: freeAddress(), Metrics: freeAddress(),
 		FirstStart: f.firstStart,
-	}.TOML()
+	}.TOML() + f.bounds
 	conf, err := settings.ParseSidecar("sidecar.toml", []byte(text))
 	Expect(err).NotTo(HaveOccurred())
 	h := &host{name: name, backend: backend, conf: conf}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -104,10 +104,10 @@
 	b.slowdown = slowdown
 }
 
-// NoWarmupReport makes a Backend report no warmup.
+// NoWarmupReport makes a Backend report no warmup in health responses.
 const NoWarmupReport time.Duration = -1
 
-// SetWarmup makes the Backend report in health responses that it is cold for left.
+// SetWarmup makes the Backend report that it is cold for left.
 func (b *Backend) SetWarmup(left time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -181,12 +181,12 @@
 // number below an earlier one simulates a heartbeat that the network delayed.
 func (b *Backend) HeartbeatWithSequence(ctx context.Context, control, state string, sequence uint64) (int, error) {
 	b.mu.Lock()
-	announcedAddress := b.announcedAddress
+	announcedAddress, warmUntil := b.announcedAddress, b.warmUntil
 	b.mu.Unlock()
 	document, err := json.Marshal(map[string]any{
 		"addr": announcedAddress, "born": b.startedAt.UnixMilli(),
 		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.failureDomain, "slots": 10},
-		"status": map[string]any{"state": state, "seq": sequence, "cold_left_ms": 0},
+		"status": map[string]any{"state": state, "seq": sequence, "cold_left_ms": max(0, time.Until(warmUntil).Milliseconds())},
 	})
 	if err != nil {
 		return 0, err
