--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -47,6 +47,8 @@
 	firstStart bool
 	// settings is appended to the settings of the hosts that are added.
 	settings string
+	// bounds is added to the bounds in the settings.
+	bounds string
 }
 
 func newTestFleet() *testFleet {
@@ -137,7 +139,7 @@
 		Backend: backend.Address(), Callers: freeAddress(), Nodes: freeAddress(), Datagrams: freeAddress(),
 		Ready: freeAddress(), Upstream: freeAddress(), Metrics: freeAddress(),
 		FirstStart: f.firstStart,
-	}.TOML() + f.settings
+	}.TOML() + f.bounds + f.settings
 	conf, err := settings.ParseSidecar("sidecar.toml", []byte(text))
 	Expect(err).NotTo(HaveOccurred())
 	h := &host{name: name, backend: backend, conf: conf}
