quota, ingress, sidecar: 503 where no owner could say that a request is beyond its quota

A request for which no owner answered within 60 ms, or only a stand-in, was answered 429 although it may lie within its quota. It gets 503 with a short Retry-After now, and counts as unanswered; 429 says that the owner had no tokens.

--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -14,13 +14,22 @@
 
 // Quota decides which requests are within the quotas of their organisations.
 type Quota interface {
-	// Admit takes a token for a request. If it returns false, tokens for what was refused
-	// lately come within the returned time.
-	Admit(ctx context.Context, organisation string) (time.Duration, bool)
+	// Admit takes a token for a request, if there is one.
+	Admit(ctx context.Context, organisation string) QuotaDecision
 	// Refund gives back the token of a request that no upstream ran.
 	Refund(organisation string)
 }
 
+// QuotaDecision is the decision on a request.
+type QuotaDecision struct {
+	Admitted bool
+	// Beyond means that the request lies beyond the quota. A request that is neither admitted
+	// nor beyond found nobody in time who could say so.
+	Beyond bool
+	// RetryAfter is the time in which tokens come for what was refused lately.
+	RetryAfter time.Duration
+}
+
 // WithQuota sets the quotas that all nodes share.
 func WithQuota(q Quota) Option { return func(in *Ingress) { in.quota = q } }
 
@@ -36,16 +45,18 @@
 	if !s.limited() {
 		return true
 	}
-	wait, ok := s.in.quota.Admit(ctx, s.organisation.Name())
+	d := s.in.quota.Admit(ctx, s.organisation.Name())
 	switch {
-	case ok:
+	case d.Admitted:
 		return true
 	case ctx.Err() != nil:
 		s.recordEnd(0, call.NotRun, call.ReasonCancelled)
 		s.reply.Abort()
+	case !d.Beyond:
+		s.refuse(call.ReasonQuota)
 	default:
 		header := http.Header{}
-		platform.SetRetryAfter(header, s.in.jittered(minRetryAfter, max(wait, retryAfterSpread)))
+		platform.SetRetryAfter(header, s.in.jittered(minRetryAfter, max(d.RetryAfter, retryAfterSpread)))
 		s.answer(http.StatusTooManyRequests, call.NotRun, call.ReasonQuota, header)
 	}
 	return false
--- a/quota/account.go
+++ b/quota/account.go
@@ -39,6 +39,8 @@
 	// and answered when the owner last answered.
 	refusedUntil, answered time.Time
 	owner                  string
+	// standIn means that a stand-in answered.
+	standIn bool
 	// due means that the account is in the list of those to ask for.
 	due   bool
 	usage Usage
@@ -47,6 +49,8 @@
 // Usage counts the requests of an organisation at a node.
 type Usage struct {
 	Asked, Admitted, Refused uint64
+	// Unanswered counts those for which no owner answered in time.
+	Unanswered uint64
 }
 
 // Add adds other counts.
@@ -54,6 +58,7 @@
 	u.Asked += other.Asked
 	u.Admitted += other.Admitted
 	u.Refused += other.Refused
+	u.Unanswered += other.Unanswered
 }
 
 // expire drops the tokens that may no longer be spent; they are given back.
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -135,6 +135,7 @@
 		tokens, lifetime := n.grant(now, e.Key, limit, int(min(e.Tokens, maxTokens)), int(min(e.Returned, maxTokens)))
 		reply.Entries = append(reply.Entries, Entry{
 			Key: e.Key, Tokens: uint32(tokens), Returned: e.Tokens, LifetimeMs: uint32(lifetime.Milliseconds()),
+			StandIn: !n.members.owns(now, e.Key),
 		})
 	}
 	return reply, true
@@ -151,6 +152,7 @@
 	for _, e := range m.Entries {
 		if a := n.accounts[e.Key]; a != nil {
 			expires := sent.sent.Add(min(time.Duration(e.LifetimeMs)*time.Millisecond, maxLifetime))
+			a.standIn = e.StandIn
 			n.credit(now, a, m.Host, int(e.Returned), grant{tokens: int(e.Tokens), expires: expires})
 		}
 	}
--- a/quota/message.go
+++ b/quota/message.go
@@ -36,6 +36,9 @@
 	Returned uint32
 	// LifetimeMs is the time from the ask to the expiry of granted tokens, in milliseconds.
 	LifetimeMs uint32
+	// StandIn means that the answering node is not the owner, and can't say whether the
+	// organisation is beyond its quota.
+	StandIn bool
 }
 
 const (
--- a/quota/node.go
+++ b/quota/node.go
@@ -18,6 +18,9 @@
 	Admitted Verdict = iota + 1
 	// Refused means that the request lies beyond the quota.
 	Refused
+	// Unanswered means that no owner could say in time whether the request lies beyond the
+	// quota.
+	Unanswered
 	// Waiting means that the request waits for an answer of the owner.
 	Waiting
 )
@@ -188,7 +191,7 @@
 	return n.decide(now, a)
 }
 
-// GiveUp refuses a request that waits no longer.
+// GiveUp decides on a request that waits no longer.
 func (n *Node) GiveUp(now time.Time, organisation string) Decision {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -201,7 +204,8 @@
 		return d
 	}
 	a.waiting--
-	return n.refuse(a)
+	a.usage.Unanswered++
+	return Decision{Verdict: Unanswered}
 }
 
 // Refund gives back the token of a request that no upstream ran.
@@ -228,6 +232,10 @@
 
 // refuse returns the decision to refuse a request; n.mu is held.
 func (n *Node) refuse(a *account) Decision {
+	if a.standIn {
+		a.usage.Unanswered++
+		return Decision{Verdict: Unanswered}
+	}
 	a.usage.Refused++
 	return Decision{Verdict: Refused, RetryAfter: a.retryAfter(n.members.known, n.bounds.Window)}
 }
@@ -287,6 +295,7 @@
 	want := a.want(n.bounds.lifetime(a.limit))
 	tokens, lifetime := n.grant(now, a.key, a.limit, want, a.returned)
 	a.returned = 0
+	a.standIn = !n.members.owns(now, a.key)
 	n.credit(now, a, n.members.self.Host, want, grant{tokens: tokens, expires: now.Add(lifetime)})
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -271,6 +271,14 @@
 		Expect(entry.Poll(now)).To(BeEmpty())
 	})
 
+	It("does not call a request beyond its quota that no owner answered for", func() {
+		entry, _ := pair()
+		entry.Poll(now)
+		d := entry.GiveUp(now.Add(60*time.Millisecond), "shop")
+		Expect(d.Verdict).To(Equal(quota.Unanswered))
+		Expect(entry.TakeReports(now)[0].Usage.Unanswered).To(BeNumerically("==", 1))
+	})
+
 	It("gives the token of a request back that no upstream ran", func() {
 		entry, owner := pair()
 		answer, _ := owner.Handle(now, entry.Poll(now)[0].Message)
--- a/sidecar/quota.go
+++ b/sidecar/quota.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/banyancross/banyancross/ingress"
 	"github.com/banyancross/banyancross/organisation"
 	"github.com/banyancross/banyancross/quota"
 )
@@ -59,12 +60,12 @@
 }
 
 // Admit implements ingress.Quota.
-func (q *quotas) Admit(ctx context.Context, organisation string) (time.Duration, bool) {
+func (q *quotas) Admit(ctx context.Context, organisation string) ingress.QuotaDecision {
 	q.activate()
 	clock := q.sidecar.clock
 	d := q.node.Take(clock.Now(), organisation)
 	if d.Verdict != quota.Waiting {
-		return d.RetryAfter, d.Verdict == quota.Admitted
+		return newQuotaDecision(d)
 	}
 	timeout := clock.After(maxQuotaWait)
 	q.send(q.node.Poll(clock.Now()))
@@ -83,7 +84,11 @@
 			d = q.node.GiveUp(clock.Now(), organisation)
 		}
 	}
-	return d.RetryAfter, d.Verdict == quota.Admitted
+	return newQuotaDecision(d)
+}
+
+func newQuotaDecision(d quota.Decision) ingress.QuotaDecision {
+	return ingress.QuotaDecision{Admitted: d.Verdict == quota.Admitted, Beyond: d.Verdict == quota.Refused, RetryAfter: d.RetryAfter}
 }
 
 // Refund implements ingress.Quota.
@@ -234,9 +239,9 @@
 		total := q.totals[series]
 		total.Add(r.Usage)
 		q.totals[series] = total
-		if r.Usage.Refused > 0 {
+		if r.Usage.Refused+r.Usage.Unanswered > 0 {
 			_ = level.Info(s.logger).Log("event", "quota", "organisation", r.Organisation, "rate", r.Limit.Rate, "burst", r.Limit.Burst,
-				"asked", r.Usage.Asked, "admitted", r.Usage.Admitted, "refused", r.Usage.Refused, "tokens", r.Tokens,
+				"asked", r.Usage.Asked, "admitted", r.Usage.Admitted, "refused", r.Usage.Refused, "unanswered", r.Usage.Unanswered, "tokens", r.Tokens,
 				"owner", r.Owner, "answered-ms", r.Age.Milliseconds())
 		}
 	}
@@ -245,5 +250,6 @@
 		s.organisationGauge(series, "quota_asked", float64(total.Asked))
 		s.organisationGauge(series, "quota_admitted", float64(total.Admitted))
 		s.organisationGauge(series, "quota_refused", float64(total.Refused))
+		s.organisationGauge(series, "quota_unanswered", float64(total.Unanswered))
 	}
 }
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"net/http"
+
 	"github.com/go-kit/log/level"
 	"golang.org/x/time/rate"
 
@@ -43,7 +45,7 @@
 	class, write := "served", false
 	now := s.clock.Now()
 	switch {
-	case o.Reason == call.ReasonQuota:
+	case o.Status == http.StatusTooManyRequests:
 		// The node logs once a second what it refuses for quotas.
 		class = "refused"
 		l.served++
