hop, egress, ingress, sidecar: gates report the time of a call only if asked for it

Each answer carried the time at the gate, also where nothing used it. Entry nodes that leave their failure domain by room now ask for it; others send and get no byte.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -19,7 +19,9 @@
 	g.recordEntryNode(meta.EntryHost)
 	arrived := g.clock.Now()
 	answer := g.do(ctx, meta, c)
-	answer.Meta.GateTime = g.clock.Now().Sub(arrived)
+	if meta.ReportGateTime {
+		answer.Meta.GateTime = g.clock.Now().Sub(arrived)
+	}
 	load := g.updateLoad()
 	answer.Meta.ID, answer.Meta.FromGate, answer.Meta.Load = meta.ID, true, &load
 	if table := g.table(); table != nil {
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -94,6 +94,16 @@
 		Expect(backend.Runs()).To(HaveLen(1))
 	})
 
+	It("reports how long it had a call if that is asked for", func() {
+		gate, backend := newGate()
+		backend.SetServiceTime(50 * time.Millisecond)
+		ready(gate, backend)
+		Expect(do(gate, meta("a")).GateTime).To(BeZero())
+		asking := meta("b")
+		asking.ReportGateTime = true
+		Expect(do(gate, asking).GateTime).To(BeNumerically(">=", 50*time.Millisecond))
+	})
+
 	It("stays draining, whatever heartbeats arrive afterwards", func() {
 		gate, backend := newGate()
 		ready(gate, backend)
--- a/hop/meta.go
+++ b/hop/meta.go
@@ -64,6 +64,8 @@
 	EntryHost string `cbor:"17,keyasint,omitempty"`
 	// Organisation is the organisation of the caller, "" for none.
 	Organisation string `cbor:"20,keyasint,omitempty"`
+	// ReportGateTime asks the gate for AnswerMeta.GateTime.
+	ReportGateTime bool `cbor:"27,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
@@ -100,7 +102,7 @@
 	// NestedCalls counts the calls that the run made, by the called service.
 	NestedCalls map[string]int `cbor:"10,keyasint,omitempty"`
 	// GateTime is the time from the arrival of the call at the gate to its answer, with
-	// QueueTime, 0 if the gate does not report it.
+	// QueueTime, 0 unless Meta.ReportGateTime asks for it.
 	GateTime time.Duration `cbor:"17,keyasint,omitempty"`
 }
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -76,7 +76,7 @@
 		Idempotent: s.route.Idempotent, Received: s.received, Revision: s.table.Revision(),
 		CallerService: s.in.callerService(), Priority: s.priority(), Declinable: a.declinable,
 		Depth: s.depth, Repeated: a.repeated, MinSlowdown: a.minSlowdown, EntryHost: s.in.host, Route: s.route.Name, Fingerprint: s.fingerprint,
-		Organisation: s.organisationName(),
+		Organisation: s.organisationName(), ReportGateTime: s.in.leaving.byRoom(),
 	}
 	if !a.declinable {
 		meta.MaxWait = s.maxWait(now, remaining)
--- a/ingress/leaving.go
+++ b/ingress/leaving.go
@@ -51,7 +51,8 @@
 	return func(in *Ingress) { in.leaving.prices = &prices }
 }
 
-// Delays returns the estimated round trips to other failure domains.
+// Delays returns the estimated round trips to other failure domains, none if calls do not
+// leave by room.
 func (in *Ingress) Delays() map[string]time.Duration { return in.leaving.delays.All() }
 
 // LeavingShare returns the largest share of a kind of calls that leaves now for want of
--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -149,9 +149,10 @@
 		loads := []call.Load{{Running: 20, Limit: 10}, {Limit: 10}}
 		s := setup{
 			attempts: 1, hosts: 2, budget: largeBudget, loads: loads, domains: []string{"z1", "z2"},
-			options: []ingress.Option{func(created *ingress.Ingress) { in = created }},
+			options: []ingress.Option{func(created *ingress.Ingress) { in = created }, ingress.WithLeavingByRoom(locality.NewPrices(12<<10, 1, 2))},
 		}
-		_, address := start(s, func(string, hop.Meta) *egress.Answer {
+		_, address := start(s, func(_ string, meta hop.Meta) *egress.Answer {
+			Expect(meta.ReportGateTime).To(BeTrue())
 			time.Sleep(30 * time.Millisecond)
 			answer := egress.Refusal(call.NotRun, call.ReasonOverload)
 			answer.Meta.GateTime = 20 * time.Millisecond
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -45,6 +45,10 @@
 	ids    int
 	// firstStart means that the hosts start as parts of a new fleet.
 	firstStart bool
+	// domains holds the failure domain of each host, z1 after its end, and extraSettings
+	// is added to the settings of all.
+	domains       []string
+	extraSettings string
 }
 
 func newTestFleet() *testFleet {
@@ -121,15 +125,19 @@
 func (f *testFleet) add(options ...sidecar.Option) *host {
 	GinkgoHelper()
 	name := fmt.Sprintf("stock-%d", len(f.hosts)+1)
-	backend, err := standin.NewBackend("i-"+name, "stock", "z1", "127.0.0.1:0")
+	domain := "z1"
+	if len(f.hosts) < len(f.domains) {
+		domain = f.domains[len(f.hosts)]
+	}
+	backend, err := standin.NewBackend("i-"+name, "stock", domain, "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Close)
 	text := standin.SidecarSettings{
-		Name: name, FailureDomain: "z1", Service: "stock", Platform: strings.TrimPrefix(f.server.URL, "http://"),
+		Name: name, FailureDomain: domain, Service: "stock", Platform: strings.TrimPrefix(f.server.URL, "http://"),
 		Backend: backend.Address(), Callers: freeAddress(), Nodes: freeAddress(), Datagrams: freeAddress(),
 		Ready: freeAddress(), Upstream: freeAddress(), Metrics: freeAddress(),
 		FirstStart: f.firstStart,
-	}.TOML()
+	}.TOML() + f.extraSettings
 	conf, err := settings.ParseSidecar("sidecar.toml", []byte(text))
 	Expect(err).NotTo(HaveOccurred())
 	h := &host{name: name, backend: backend, conf: conf}
