--- a/hop/meta.go
+++ b/hop/meta.go
@@ -67,6 +67,8 @@
 	// ObjectiveRemaining is the time left until the latency objective, negative
 	// afterwards, 0 for a call that is not queued or whose late answer is as good.
 	ObjectiveRemaining time.Duration `cbor:"23,keyasint,omitempty"`
+	// ReportGateTime asks the gate for AnswerMeta.GateTime.
+	ReportGateTime bool `cbor:"27,keyasint,omitempty"`
 }
 
 // Encode returns the metadata as a header value.
@@ -103,7 +105,7 @@
 	// NestedCalls counts the calls that the run made, by the called service.
 	NestedCalls map[string]int `cbor:"10,keyasint,omitempty"`
 	// GateTime is the time from the arrival of the call at the gate to its answer, with
-	// QueueTime, 0 if the gate does not report it.
+	// QueueTime, 0 unless Meta.ReportGateTime asks for it.
 	GateTime time.Duration `cbor:"17,keyasint,omitempty"`
 	// NestedExcess is the share of the nested calls to other services without room, by
 	// service, as the gate's node sees it; empty without overload.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -49,6 +49,8 @@
 	settings string
 	// bounds is added to the bounds in the settings.
 	bounds string
+	// domains holds the failure domains of the first hosts, z1 for the others.
+	domains []string
 }
 
 func newTestFleet() *testFleet {
@@ -124,6 +126,9 @@
 // add starts a host whose backend server has not sent a heartbeat yet.
 func (f *testFleet) add(options ...sidecar.Option) *host {
 	GinkgoHelper()
+	if len(f.hosts) < len(f.domains) {
+		return f.addIn(f.domains[len(f.hosts)], options...)
+	}
 	return f.addIn("z1", options...)
 }
 
