ingress, sidecar: keep the organisation of a run that outlives its configuration

Cause: a nested call of a run whose organisation had just left the configuration named no organisation to its upstream. The spec of a stale node passed without the answer to it, since regular beacons told the same.

Change: such a call has the name of the run's organisation, of which nothing else is known any more. The spec wants an answer to each of twelve stale beacons, within a time in which there are at most seven regular ones.

--- a/ingress/identity.go
+++ b/ingress/identity.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/organisation"
 	"github.com/banyancross/banyancross/platform"
 )
 
@@ -26,8 +27,7 @@
 	case s.headers.Key() != "":
 		s.organisation, found = organisations.Lookup(s.headers.Key())
 	case s.headers.Keyless() && nested:
-		// The organisation may have left the configuration while the run goes on.
-		s.organisation, _ = organisations.Named(parent.Organisation)
+		s.organisation = organisationOf(parent, organisations)
 		found = true
 	}
 	switch {
@@ -42,6 +42,19 @@
 	return false
 }
 
+// organisationOf returns the organisation of a run, nil for none. It may have left the
+// configuration while the run goes on; then only its name is known.
+func organisationOf(run egress.Run, organisations *organisation.Directory) *organisation.Organisation {
+	if o, ok := organisations.Named(run.Organisation); ok {
+		return o
+	}
+	o, err := organisation.New(run.Organisation, nil)
+	if err != nil {
+		return nil
+	}
+	return o
+}
+
 // denyKey answers that the request has not run because its key is unknown.
 func (s *session) denyKey() {
 	header := http.Header{}
--- a/ingress/identity_test.go
+++ b/ingress/identity_test.go
@@ -195,6 +195,13 @@
 		_, sender, address := start("gone")
 		ask(address, "running.1")
 		Expect(sender.attempts()).NotTo(BeEmpty())
+		Expect(sender.attempts()[0].meta.Organisation).To(Equal("gone"))
+	})
+
+	It("of a run without an organisation has none", func() {
+		_, sender, address := start("")
+		ask(address, "running.1")
+		Expect(sender.attempts()).NotTo(BeEmpty())
 		Expect(sender.attempts()[0].meta.Organisation).To(BeEmpty())
 	})
 
--- a/sidecar/evacuation_test.go
+++ b/sidecar/evacuation_test.go
@@ -23,13 +23,13 @@
 	return sidecar.WithStore(&unwatchableStore{Client: platform.NewClient(strings.TrimPrefix(f.server.URL, "http://"))})
 }
 
-// twoDomains returns a fleet with a host in z1 and one in z2, which has the options.
-func twoDomains(options ...sidecar.Option) (f *testFleet, a, b *host) {
+// twoDomains returns a fleet with a host in z1 and one in z2.
+func twoDomains() (f *testFleet, a, b *host) {
 	GinkgoHelper()
 	f = newTestFleet()
 	f.publish(1)
 	a = f.add()
-	b = f.addIn("z2", options...)
+	b = f.addIn("z2")
 	a.sendHeartbeat("ready")
 	b.sendHeartbeat("ready")
 	// Calls stay in their failure domain while it has free slots.
@@ -151,23 +151,25 @@
 		}
 		target, err := net.ResolveUDPAddr("udp", a.conf.GossipAddress())
 		Expect(err).NotTo(HaveOccurred())
-		buffer := make([]byte, 2000)
-		for sequence := uint64(1); sequence <= 2; sequence++ {
+		// More than the regular beacons, of which there are at most seven in this time.
+		const beacons, answerTime = 12, 1500 * time.Millisecond
+		for sequence := uint64(1); sequence <= beacons; sequence++ {
 			stale.Sequence = sequence
 			data, err := stale.Encode()
 			Expect(err).NotTo(HaveOccurred())
 			_, err = socket.WriteToUDP(data, target)
 			Expect(err).NotTo(HaveOccurred())
-			Eventually(func(g Gomega) {
-				_ = socket.SetReadDeadline(time.Now().Add(time.Second))
-				n, err := socket.Read(buffer)
-				g.Expect(err).NotTo(HaveOccurred())
-				told, err := fleet.Decode(buffer[:n])
-				g.Expect(err).NotTo(HaveOccurred())
-				g.Expect(told.EvacuationRevision).To(BeNumerically(">", 2))
-				g.Expect(told.Evacuated).To(BeEmpty())
-			}).Should(Succeed())
-			Expect(a.sidecar.Evacuated()).To(BeEmpty())
 		}
+		Expect(socket.SetReadDeadline(time.Now().Add(answerTime))).To(Succeed())
+		buffer := make([]byte, 2000)
+		for range beacons {
+			n, err := socket.Read(buffer)
+			Expect(err).NotTo(HaveOccurred(), "each stale beacon is answered")
+			told, err := fleet.Decode(buffer[:n])
+			Expect(err).NotTo(HaveOccurred())
+			Expect(told.EvacuationRevision).To(BeNumerically(">", 2))
+			Expect(told.Evacuated).To(BeEmpty())
+		}
+		Expect(a.sidecar.Evacuated()).To(BeEmpty())
 	})
 })
