warmup, egress: presume no earlier sends to an upstream that started after this process

Cause: for a second after its start, a node presumes that an earlier process sent its cold upstream all that this tolerates.

Change: an incarnation that started after the process is presumed to have got nothing.

Run: the new spec fails without the change; go test ./warmup ./egress passes.

--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -130,7 +130,7 @@
 	g.admission = admission.NewGate(h.Slots(), admission.WithMaxUtilization(1))
 	g.pool = http1.NewPool(g.address, g.dial, g.clock, defaultIdleTimeout)
 	g.health = health{}
-	g.warmup.limiter.Reset()
+	g.warmup.limiter.Reset(h.Started())
 	g.updateSlotShare()
 }
 
--- a/warmup/limiter.go
+++ b/warmup/limiter.go
@@ -56,7 +56,8 @@
 // Limiter decides when an upstream may be sent a request. It is not safe for concurrent
 // use.
 type Limiter struct {
-	// started is the start of the process, before which another one may have sent.
+	// started is the start of the process, before which another one may have sent, zero
+	// if none can have.
 	started time.Time
 	// sends holds the times of the sends that count, the earliest first.
 	sends []time.Time
@@ -74,7 +75,13 @@
 
 // Reset forgets what was reported, as another incarnation of the upstream runs. The
 // sends before count still: it may have received them.
-func (l *Limiter) Reset() {
+//
+// started is when the incarnation started by the host's clock. An earlier process cannot
+// have sent to one that started after this process.
+func (l *Limiter) Reset(started time.Time) {
+	if started.After(l.started) {
+		l.started = time.Time{}
+	}
 	l.reportedAt, l.warmAt, l.cold, l.coldUntil = time.Time{}, time.Time{}, false, time.Time{}
 }
 
--- a/warmup/limiter_test.go
+++ b/warmup/limiter_test.go
@@ -112,6 +112,16 @@
 		Expect(takeAll(l, at(1050))).To(Equal(19))
 	})
 
+	It("presumes nothing of an earlier process if the upstream started after this one", func() {
+		l = warmup.NewLimiter(start)
+		l.Reset(start.Add(-time.Millisecond))
+		Expect(takeAll(l, at(500))).To(BeZero())
+		l.Reset(start.Add(100 * time.Millisecond))
+		l.Report(at(500), at(490), time.Minute)
+		Expect(takeAll(l, at(500))).To(Equal(19))
+		Expect(takeAll(l, at(999))).To(BeZero())
+	})
+
 	It("needs no such presumption once the upstream says that it is warm", func() {
 		l = warmup.NewLimiter(start)
 		l.Report(at(20), at(10), 0)
@@ -121,7 +131,7 @@
 	It("presumes cold again for another incarnation, and forgets no send", func() {
 		l.Report(at(0), at(0), 0)
 		Expect(takeAll(l, at(10))).To(Equal(25))
-		l.Reset()
+		l.Reset(start.Add(-2 * time.Hour))
 		Expect(takeAll(l, at(20))).To(BeZero())
 		Expect(l.ReportDue(at(20), bounds)).To(BeTrue())
 	})
