ingress: leave evacuated failure domains out of the levels of services

Cause: the upstreams of an evacuated failure domain run nothing, and their nodes report free slots in beacons. Levels counted these as room, so that there was no level as long as the evacuation lasted, however full the other upstreams were: requests were sent whose nested calls were then rejected.

Change: load reports from evacuated failure domains don't enter the levels, and their upstreams don't count among those that serve.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -214,7 +214,7 @@
 	if in.started.IsZero() {
 		in.started = in.clock.Now()
 	}
-	in.levels = admission.NewLevels(func(service string) int { return len(view.Serving(service)) })
+	in.levels = admission.NewLevels(func(service string) int { return len(in.notEvacuated(view.Serving(service))) })
 	in.retryBudgets = newRetryBudgets(in.retryBudget, view, in.started, in.rng.Float64())
 	in.policy = routing.NewLeastCost(rand.New(rand.NewPCG(in.rng.Uint64(), in.rng.Uint64())), routing.WithTransferUnit(in.transferUnit))
 	in.leaving.start(in.rng)
--- a/ingress/level.go
+++ b/ingress/level.go
@@ -6,8 +6,12 @@
 	"github.com/banyancross/banyancross/fleet"
 )
 
-// recordLoad records a load report for the choice of upstreams and the levels of services.
+// recordLoad records a load report for the levels of services. What is free in an evacuated
+// failure domain is no room.
 func (in *Ingress) recordLoad(b *fleet.Beacon, load call.Load) {
+	if in.evacuation().Has(b.FailureDomain) {
+		return
+	}
 	in.levels.Report(in.clock.Now(), b.Service, fleet.UpstreamKey(b), load)
 }
 
--- a/ingress/permission.go
+++ b/ingress/permission.go
@@ -14,7 +14,7 @@
 // permitted returns the upstreams that the request may be sent to: those outside the
 // evacuated failure domains, in the regions that both the route and the organisation allow.
 func (s *session) permitted(peers []fleet.Peer) []fleet.Peer {
-	return s.notEvacuated(s.inAllowedRegions(peers))
+	return s.in.notEvacuated(s.inAllowedRegions(peers))
 }
 
 // inAllowedRegions returns the upstreams in the regions that both the route and the
@@ -35,8 +35,8 @@
 }
 
 // notEvacuated returns the upstreams outside the evacuated failure domains.
-func (s *session) notEvacuated(peers []fleet.Peer) []fleet.Peer {
-	evacuated := s.in.evacuation()
+func (in *Ingress) notEvacuated(peers []fleet.Peer) []fleet.Peer {
+	evacuated := in.evacuation()
 	if len(evacuated.Domains()) == 0 {
 		return peers
 	}
@@ -51,7 +51,7 @@
 	switch {
 	case len(serving) > 0 && len(allowed) == 0:
 		return call.ReasonNoRegion
-	case len(allowed) > 0 && len(s.notEvacuated(allowed)) == 0:
+	case len(allowed) > 0 && len(s.in.notEvacuated(allowed)) == 0:
 		return call.ReasonEvacuated
 	}
 	return call.ReasonNoUpstream
--- a/ingress/where.go
+++ b/ingress/where.go
@@ -188,7 +188,7 @@
 	{"absent", func(_ *session, peer fleet.Peer) bool { return peer.Beacon().Phase != fleet.Ready }},
 	{"stopping", func(_ *session, peer fleet.Peer) bool { return peer.Beacon().Stopping }},
 	{"silent", func(_ *session, peer fleet.Peer) bool { return peer.Silent() }},
-	{"evacuated", func(s *session, peer fleet.Peer) bool { return len(s.notEvacuated([]fleet.Peer{peer})) == 0 }},
+	{"evacuated", func(s *session, peer fleet.Peer) bool { return len(s.in.notEvacuated([]fleet.Peer{peer})) == 0 }},
 	{"region", func(s *session, peer fleet.Peer) bool { return len(s.inAllowedRegions([]fleet.Peer{peer})) == 0 }},
 }
 
