egress: a full warm upstream declines calls as full, not as cold

Cause: the check for room at a cold upstream counted the admission queue for calls that may not wait. At a warm upstream with more calls queued than it has room for sends, it answered warming. Such an answer is no pick, so that a request of a full service went on to up to eight more gates.

Change: the queue counts only for calls that may wait, or while the upstream is cold.

Before: the new spec gets warming where overload is expected. After: it passes, and so does go test ./egress.

--- a/egress/warmup.go
+++ b/egress/warmup.go
@@ -82,7 +82,9 @@
 		}
 	}
 	ahead := g.warmup.waiting
-	if meta.Depth == 0 {
+	// A call that may not wait comes before none in the queue: admission rejects it as
+	// there is one. A rejection as warming would send it on to more upstreams.
+	if meta.Depth == 0 && (meta.MaxWait > 0 || g.warmup.limiter.Cold(now)) {
 		ahead += int(t.admission.Load(now).Waiting)
 	}
 	if g.warmup.limiter.NextRoom(now, bounds, ahead).After(now.Add(meta.MaxWait)) {
--- a/egress/warmup_test.go
+++ b/egress/warmup_test.go
@@ -243,3 +243,32 @@
 		Expect(limited).To(BeFalse())
 	})
 })
+
+// The pattern: a service is full, and few of its upstreams have a warmup to speak of.
+var _ = Describe("the gate of a full upstream that is warm", func() {
+	It("declines a call as full, not as cold, while there is room for its rate", func() {
+		const rate = 5
+		backend := newBackend()
+		gate := newWarmupGate(backend, rate)
+		gate.Heartbeat(coldHeartbeat(backend.Address(), 1, 0))
+		room := func() int { room, _ := gate.WarmupRoom(); return room }
+		const full = 13 // rate x overage and three quarters of the slack
+		Eventually(room).Should(Equal(full))
+		release := backend.Hold()
+		var wg sync.WaitGroup
+		DeferCleanup(wg.Wait)
+		DeferCleanup(release)
+		// 20 slots, and a queue that is longer than the room for sends.
+		for i := range 20 + full + 2 {
+			wg.Go(func() {
+				m := meta(fmt.Sprintf("held-%d", i))
+				m.MaxWait = 10 * time.Second
+				do(gate, m)
+			})
+		}
+		Eventually(func() uint32 { return gate.Load().Waiting }).Should(BeNumerically(">=", full))
+		Eventually(room).Should(Equal(full))
+		Expect(gate.Load().Cold).To(BeFalse())
+		Expect(do(gate, meta("declinable")).Reason).To(Equal(call.ReasonOverload))
+	})
+})
