egress, admission: nested calls refused by a cold upstream count for the excess

Cause: a cold upstream refuses calls before admission, or after it has granted a slot, so that nested calls lost there never entered the excess. A service with few warm upstreams had no level, and entry nodes went on to admit requests whose runs hold slots of other services until their nested calls are refused.

Change: the gate counts a nested call that would have waited and is refused as warming as lost. Those that may not wait, and calls that are not nested, don't count, as before.

Before: the new spec sees no excess where more than 0.2 is expected. After: it passes, and so do go test ./egress ./admission ./ingress.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -176,6 +176,18 @@
 	}
 }
 
+// LoseNested counts a nested call for the excess that the upstream has no room for by a
+// limit other than its slots; admitted means that Admit has counted its arrival.
+func (g *Gate) LoseNested(now time.Time, admitted bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nested.advance(now)
+	if !admitted {
+		g.nested.arrivals++
+	}
+	g.nested.lost++
+}
+
 // push queues a pass.
 func (g *Gate) push(pass *Pass) {
 	g.queue.push(pass)
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -44,7 +44,9 @@
 		refused = g.decline(now, meta)
 	}
 	if refused == "" {
-		refused = g.refuseWarming(now, t, meta)
+		if refused = g.refuseWarming(now, t, meta); refused != "" && losesNested(meta) {
+			t.admission.LoseNested(now, false)
+		}
 	}
 	if refused != "" {
 		return Refusal(call.NotRun, refused)
@@ -66,6 +68,9 @@
 		granted := g.clock.Now()
 		if place, reason = g.awaitRoom(ctx, meta, now.Add(meta.MaxWait)); reason != "" {
 			pass.End(g.clock.Now(), false)
+			if reason == call.ReasonWarming && losesNested(meta) {
+				t.admission.LoseNested(g.clock.Now(), true)
+			}
 		} else if place.After(granted) {
 			pass.Restart(place)
 		}
--- a/egress/warmup.go
+++ b/egress/warmup.go
@@ -93,6 +93,10 @@
 	return ""
 }
 
+// losesNested reports whether a rejection as warming counts for the excess of nested calls:
+// that of a nested call that would have waited. Another gate may take one that may not.
+func losesNested(meta hop.Meta) bool { return meta.Depth > 0 && meta.MaxWait > 0 }
+
 // awaitRoom takes the place of a call in what a cold upstream may be sent. It waits for
 // one until the deadline, and returns ReasonWarming at once if there will be none. The
 // place is zero if the upstream is not limited.
--- a/egress/warmup_test.go
+++ b/egress/warmup_test.go
@@ -191,6 +191,34 @@
 		Expect(gate.Load().ServiceTime).To(BeNumerically("<", 100*time.Millisecond), "the wait is no run time")
 	})
 
+	It("reports nested calls that it has no room for as excess, and no others", func() {
+		backend := newBackend()
+		backend.SetWarmup(time.Hour)
+		gate := newWarmupGate(backend, warmupRate)
+		gate.Heartbeat(coldHeartbeat(backend.Address(), 1, time.Hour))
+		Eventually(func() int { room, _ := gate.WarmupRoom(); return room }).Should(Equal(int(warmupRate * warmupOverage)))
+		for i := range int(warmupRate * warmupOverage) {
+			Expect(do(gate, meta(fmt.Sprintf("first-%d", i))).Outcome).To(Equal(call.Answered))
+		}
+		lost := 0
+		lose := func(depth int, maxWait time.Duration) {
+			lost++
+			m := meta(fmt.Sprintf("lost-%d", lost))
+			m.Depth, m.MaxWait = depth, maxWait
+			Expect(do(gate, m).Reason).To(Equal(call.ReasonWarming))
+		}
+		for range 3 {
+			lose(0, 20*time.Millisecond)
+			lose(1, 0)
+		}
+		time.Sleep(150 * time.Millisecond)
+		Expect(gate.Load().NestedExcess).To(BeZero())
+		Eventually(func() float32 {
+			lose(1, 20*time.Millisecond)
+			return gate.Load().NestedExcess
+		}).WithTimeout(600 * time.Millisecond).WithPolling(20 * time.Millisecond).Should(BeNumerically(">", 0.2))
+	})
+
 	It("gives back the place of a call that another upstream refused, or that was not sent", func() {
 		backend := newBackend()
 		backend.SetWarmup(time.Hour)
