ingress: a route without an objective is never late

Entry nodes told gates the time left to the default objective, and counted requests against it in the level. On a route that sets none and whose runs take longer than 500 ms, every request thus counted as one that cannot be in time: it yielded to all others of its priority in the queues of gates, was shed first, and was refused first by a level, also without organisations.

Gates are told an objective only of routes that set one, as admission.Request says, and so does the level. The default objective bounds waits and hedges as before.

Run: go test ./ingress.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -84,7 +84,7 @@
 	}
 	if !a.declinable {
 		meta.MaxWait = s.maxWait(now, remaining)
-		if s.depth == 0 {
+		if s.depth == 0 && s.route.Objective > 0 {
 			meta.ObjectiveRemaining = s.objectiveRemaining(now)
 		}
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -89,6 +89,8 @@
 	longResponses     bool
 	// objective is the latency objective, a minute if it is not set.
 	objective time.Duration
+	// noObjective makes the route one without a latency objective.
+	noObjective bool
 	// loads holds the load of each host. If it is set, the first host is in the
 	// failure domain of the ingress and the others are not.
 	loads []call.Load
@@ -112,11 +114,15 @@
 	if s.calledService != "" {
 		services[s.calledService] = route.Service{}
 	}
+	objective := cmp.Or(s.objective, time.Minute)
+	if s.noObjective {
+		objective = 0
+	}
 	table, err := route.NewTable(route.Definition{
 		Revision: 1, Services: services, Organisations: s.organisations,
 		Routes: []route.Route{{
 			Name: "r", Host: "x", Prefix: "/", Idempotent: s.idempotent, Timeout: s.timeout, LongResponses: s.longResponses,
-			Objective: cmp.Or(s.objective, time.Minute), MaxAttempts: s.attempts, Targets: []route.WeightedService{{Service: "stock", Weight: 1}},
+			Objective: objective, MaxAttempts: s.attempts, Targets: []route.WeightedService{{Service: "stock", Weight: 1}},
 		}},
 	})
 	Expect(err).NotTo(HaveOccurred())
--- a/ingress/level.go
+++ b/ingress/level.go
@@ -29,7 +29,7 @@
 	_, ok := s.in.levels.Admit(s.received, admission.Demand{
 		Nested: s.in.nestedCalls.measured(nestedKey{s.route.Name, s.service}), Priority: s.priority(),
 		Organisation: s.organisationName(),
-		Late:         early || s.objectiveRemaining(s.received) < s.in.meanTime(s.route.Name), Draw: s.in.draw(),
+		Late:         early || s.tooLate(s.received), Draw: s.in.draw(),
 	})
 	return ok
 }
--- a/ingress/level_test.go
+++ b/ingress/level_test.go
@@ -78,4 +78,19 @@
 		}
 		Expect(queued).To(BeNumerically(">", 0))
 	})
+
+	It("tells gates no objective of a route without one, so that long runs do not yield to others", func() {
+		sender, address := start(setup{attempts: 2, hosts: 3, budget: largeBudget, noObjective: true}, func(string, hop.Meta) *egress.Answer {
+			return egress.Refusal(call.NotRun, call.ReasonOverload)
+		})
+		get(address, "a")
+		queued := 0
+		for _, s := range sender.attempts() {
+			Expect(s.meta.ObjectiveRemaining).To(BeZero())
+			if s.meta.MaxWait > 0 {
+				queued++
+			}
+		}
+		Expect(queued).To(BeNumerically(">", 0))
+	})
 })
--- a/ingress/waiting.go
+++ b/ingress/waiting.go
@@ -37,3 +37,9 @@
 func (s *session) objectiveRemaining(now time.Time) time.Duration {
 	return s.objective() - s.elapsedBefore - now.Sub(s.received)
 }
+
+// tooLate reports whether the request cannot be in time. The default objective bounds
+// waits only: late answers of a route without an objective are as good.
+func (s *session) tooLate(now time.Time) bool {
+	return s.route.Objective > 0 && s.objectiveRemaining(now) < s.in.meanTime(s.route.Name)
+}
