fleet, ingress: count nested calls to send away without copies of the upstreams

For each attempt of a request that leaves by room, the entry node copied the upstreams of each service that its runs call, and filtered them once more for each failure domain. It also built the map of the expected calls twice.

View.ServingDomains names the failure domains of the upstreams that Serving returns, without a copy. The decision is the same.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -72,6 +72,31 @@
 		Expect(v.Merge(later, beacon("b", 1, 2)).WasSilent).To(BeTrue())
 	})
 
+	It("names the failure domains of the upstreams that serve, each once", func() {
+		v := fleet.NewView()
+		in := func(host, domain string) fleet.Beacon {
+			b := beacon(host, 1, 1)
+			b.FailureDomain = domain
+			return b
+		}
+		other := in("e", "z4")
+		other.Service = "price"
+		for _, b := range []fleet.Beacon{in("a", "z1"), in("b", "z1"), in("c", "z2"), in("d", "z3"), other} {
+			v.Merge(start, b)
+		}
+		later := start.Add(fleet.SilenceTimeout + time.Millisecond)
+		absent := in("d", "z3")
+		absent.Sequence, absent.Stopping = 2, true
+		v.Merge(later, absent)
+		v.Expire(later)
+		Expect(v.ServingDomains("stock")).To(ConsistOf("z1", "z2"), "all are silent")
+		live := in("c", "z2")
+		live.Sequence = 2
+		v.Merge(later, live)
+		Expect(v.ServingDomains("stock")).To(ConsistOf("z2"))
+		Expect(v.ServingDomains("none")).To(BeEmpty())
+	})
+
 	It("waits longer for a node that announced a longer beacon interval", func() {
 		v := fleet.NewView()
 		b := beacon("a", 1, 1)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -71,6 +71,11 @@
 // changed.
 func (p *Peer) Beacon() *Beacon { return p.beacon }
 
+// serves reports whether the node has an upstream of a service that takes calls.
+func (p *Peer) serves(service string) bool {
+	return p.beacon.Service == service && p.beacon.Phase == Ready && !p.beacon.Stopping
+}
+
 // Key returns the name that identifies the node's upstream.
 func (p *Peer) Key() string { return p.key }
 
@@ -301,6 +306,33 @@
 	return peers
 }
 
+// ServingDomains returns the failure domains of the upstreams that Serving returns, each
+// once.
+func (v *View) ServingDomains(service string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var live, silent []string
+	add := func(domains []string, peer *Peer) []string {
+		if slices.Contains(domains, peer.beacon.FailureDomain) {
+			return domains
+		}
+		return append(domains, peer.beacon.FailureDomain)
+	}
+	for _, peer := range v.sorted {
+		switch {
+		case !peer.serves(service):
+		case !peer.silent:
+			live = add(live, peer)
+		case len(live) == 0:
+			silent = add(silent, peer)
+		}
+	}
+	if len(live) == 0 {
+		return silent
+	}
+	return live
+}
+
 // Serving returns the nodes whose upstream takes calls of a service. It returns
 // silent nodes only if there are no others.
 func (v *View) Serving(service string) []Peer {
@@ -308,9 +340,8 @@
 	defer v.mu.Unlock()
 	var live, silent []Peer
 	for _, peer := range v.sorted {
-		b := peer.beacon
 		switch {
-		case b.Service != service || b.Phase != Ready || b.Stopping:
+		case !peer.serves(service):
 		case !peer.silent:
 			live = append(live, *peer)
 		case len(live) == 0:
--- a/ingress/leaving.go
+++ b/ingress/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -183,16 +184,20 @@
 // addNestedCalls adds the nested calls that a run has answered in the own failure domain
 // and would have to send away from another one.
 func (s *session) addNestedCalls(domains []locality.Domain) {
-	if len(domains) == 1 || !s.callsOthers() {
+	if len(domains) == 1 {
 		return
 	}
-	for service, calls := range s.expectedCalls() {
-		serving := s.in.view.Serving(service)
-		if len(inDomain(serving, s.in.failureDomain)) == 0 {
+	expected := s.expectedCalls()
+	if !callsAny(expected) {
+		return
+	}
+	for service, calls := range expected {
+		serving := s.in.view.ServingDomains(service)
+		if !slices.Contains(serving, s.in.failureDomain) {
 			continue
 		}
 		for i := range domains {
-			if len(inDomain(serving, domains[i].Name)) == 0 {
+			if !slices.Contains(serving, domains[i].Name) {
 				domains[i].NestedAway += calls
 			}
 		}
--- a/ingress/nested.go
+++ b/ingress/nested.go
@@ -97,9 +97,13 @@
 }
 
 // callsOthers reports whether runs of the request make nested calls.
-func (s *session) callsOthers() bool {
+func (s *session) callsOthers() bool { return callsAny(s.expectedCalls()) }
+
+// callsAny reports whether the expected nested calls of a run, by the called service, are
+// more than those of a route whose runs make none.
+func callsAny(expected map[string]float64) bool {
 	total := 0.0
-	for _, calls := range s.expectedCalls() {
+	for _, calls := range expected {
 		total += calls
 	}
 	return total > maxLeafCalls
