ingress: bound the routes with counted timeouts

The timeouts of each route that was ever called were kept for the life of the process, up to some 10 kB for each, also of routes that left the configuration. At 1024 routes all are dropped, as for run times.

Run: go test ./ingress. Before, the new spec failed at 1025 routes; after, all specs of the package pass.

--- a/ingress/elapsed.go
+++ b/ingress/elapsed.go
@@ -57,6 +57,9 @@
 	defer u.mu.Unlock()
 	c := u.routes[route]
 	if c == nil {
+		if len(u.routes) >= maxLearnedRoutes {
+			clear(u.routes)
+		}
 		c = &timeoutCounts{since: now}
 		u.routes[route] = c
 	}
--- a/ingress/elapsed_test.go
+++ b/ingress/elapsed_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -55,6 +56,14 @@
 		Expect(len(u.routes["a"].current.byTimeout)).To(BeNumerically("<=", maxTimeouts))
 	})
 
+	It("is kept for a bounded number of routes", func() {
+		u := newUsualTimeouts()
+		for i := range 2 * maxLearnedRoutes {
+			u.elapsed(start, fmt.Sprint(i), 3*time.Second)
+			Expect(len(u.routes)).To(BeNumerically("<=", maxLearnedRoutes))
+		}
+	})
+
 	It("follows callers that change their timeout", func() {
 		u := newUsualTimeouts()
 		at := start
--- a/ingress/leaving.go
+++ b/ingress/leaving.go
@@ -16,7 +16,8 @@
 // are at times too few for: package locality decides which first attempts leave. A later
 // attempt or a hedge may leave at once, at the cost of its way.
 
-// maxLearnedRoutes bounds the routes with a mean run time. At the bound all are dropped.
+// maxLearnedRoutes bounds the routes with a mean run time, and those with usual timeouts.
+// At the bound all are dropped.
 const maxLearnedRoutes = 1024
 
 // leaving holds what an Ingress needs to decide on leaving its failure domain; it is safe
