quota: don't give back tokens that expired

Cause: an entry node gave tokens that expired unspent back with its next ask, up to 30 s later. The ledger counted them as on hand only until they expired and had minted others by then, so callers that leave tokens on many nodes and return to them one after the other got them on top of the burst. Change: tokens that expire are lost. The next ask gives back only those of requests that no upstream ran.

--- a/quota/account.go
+++ b/quota/account.go
@@ -29,7 +29,8 @@
 	// demand and admitted are the numbers of requests per second, averaged until updated.
 	demand, admitted float64
 	updated          time.Time
-	// returned counts the tokens to give back with the next ask.
+	// returned counts the tokens of requests that no upstream ran, to give back with the next
+	// ask.
 	returned int
 	// waiting counts the requests that wait for tokens.
 	waiting int
@@ -61,10 +62,11 @@
 	u.Unanswered += other.Unanswered
 }
 
-// expire drops the tokens that may no longer be spent; they are given back.
+// expire drops the tokens that may no longer be spent. They are not given back: the ledger
+// no longer counts them as on hand and may have minted others in their place, so that hosts
+// that give back many at once would exceed the bound.
 func (a *account) expire(now time.Time) {
 	for len(a.onHand) > 0 && !now.Before(a.onHand[0].expires) {
-		a.returned += a.onHand[0].tokens
 		a.onHand = a.onHand[1:]
 	}
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -162,6 +162,29 @@
 		}),
 	)
 
+	It("keeps the bound of an organisation whose callers left tokens unspent on many hosts", func() {
+		// Its callers move on after a burst, and each host keeps what it asked ahead.
+		const stay, burst = 500 * time.Millisecond, 50 * time.Millisecond
+		o := s.orgs[0]
+		s.run(25*time.Second, func() {
+			o.homes, o.factor = []int{int(s.elapsed() / stay)}, 0
+			if s.elapsed()%stay < burst {
+				o.factor = 12
+			}
+		})
+		o.factor = 0
+		s.run(2*time.Second, nil)
+		// They come back to one host after the other, with more than the limit allows.
+		o.homes, o.factor = nil, 7
+		s.run(6*time.Second, func() {
+			if s.due(stay / 5) {
+				o.homes = append(o.homes, len(o.homes))
+			}
+		})
+		report("unspent tokens")
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
 	It("serves an organisation again soon after its owner is killed", func() {
 		s.run(5*time.Second, nil)
 		owner := s.ownerOf(s.orgs[0])
