quota, ingress, sidecar: give a token back only until it expires

Cause: the token of a request that an upstream refused after a long wait was given back seconds after its ledger had stopped counting it, so that a hot organisation ran those of the past window on top of the present one when a service came back. Change: an admission tells when its token expires; later, or with an ask sent later, it is not given back. Shown: the new spec (upstreams refuse after 3 s, then serve) fails before with 1009 requests above the bound in a window, and passes after; all 43 specs of quota, those of ingress, and those of sidecar named quota pass.

--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -16,8 +16,9 @@
 type Quota interface {
 	// Admit takes a token for a request, if there is one.
 	Admit(ctx context.Context, organisation string) QuotaDecision
-	// Refund gives back the token of a request that no upstream ran.
-	Refund(organisation string)
+	// Refund gives back the token of a request that no upstream ran; expires is that of its
+	// decision.
+	Refund(organisation string, expires time.Time)
 }
 
 // QuotaDecision is the decision on a request.
@@ -28,6 +29,8 @@
 	Beyond bool
 	// RetryAfter is the time in which tokens come for what was refused lately.
 	RetryAfter time.Duration
+	// Expires is the time until which the token of an admitted request may be given back.
+	Expires time.Time
 }
 
 // WithQuota sets the quotas that all nodes share.
@@ -48,6 +51,7 @@
 	d := s.in.quota.Admit(ctx, s.organisation.Name())
 	switch {
 	case d.Admitted:
+		s.quotaExpires = d.Expires
 		return true
 	case ctx.Err() != nil:
 		s.recordEnd(0, call.NotRun, call.ReasonCancelled)
@@ -65,6 +69,6 @@
 // refundQuota gives the token of the request back if no upstream ran the request.
 func (s *session) refundQuota() {
 	if s.limited() && s.attempts == 0 && !s.outcomeUnknown {
-		s.in.quota.Refund(s.organisation.Name())
+		s.in.quota.Refund(s.organisation.Name(), s.quotaExpires)
 	}
 }
--- a/ingress/quota_test.go
+++ b/ingress/quota_test.go
@@ -17,6 +17,9 @@
 	"github.com/banyancross/banyancross/organisation"
 )
 
+// tokenExpiry is the expiry of all tokens of a fakeQuota.
+var tokenExpiry = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // fakeQuota admits a number of requests.
 type fakeQuota struct {
 	mu     sync.Mutex
@@ -30,12 +33,15 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.tokens--
-	return ingress.QuotaDecision{Admitted: q.tokens >= 0, Beyond: q.tokens < 0 && !q.unanswered, RetryAfter: 2 * time.Second}
+	return ingress.QuotaDecision{Admitted: q.tokens >= 0, Beyond: q.tokens < 0 && !q.unanswered, RetryAfter: 2 * time.Second, Expires: tokenExpiry}
 }
 
-func (q *fakeQuota) Refund(name string) {
+func (q *fakeQuota) Refund(name string, expires time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !expires.Equal(tokenExpiry) {
+		name += " with the expiry of another token"
+	}
 	q.refunded = append(q.refunded, name)
 }
 
--- a/ingress/session.go
+++ b/ingress/session.go
@@ -48,6 +48,8 @@
 	service string
 	// organisation is that of the caller, nil for none.
 	organisation *organisation.Organisation
+	// quotaExpires is the time until which the token of the request may be given back.
+	quotaExpires time.Time
 	// fingerprint identifies the request across resends by its caller.
 	fingerprint uint64
 	received    time.Time
--- a/quota/account.go
+++ b/quota/account.go
@@ -29,9 +29,9 @@
 	// demand and admitted are the numbers of requests per second, averaged until updated.
 	demand, admitted float64
 	updated          time.Time
-	// returned counts the tokens of requests that no upstream ran, to give back with the next
+	// returned holds the tokens of requests that no upstream ran, to give back with the next
 	// ask.
-	returned int
+	returned []grant
 	// waiting counts the requests that wait for tokens.
 	waiting int
 	// askedAt is when an unanswered ask was sent, zero if there is none.
@@ -80,18 +80,32 @@
 	return total
 }
 
-// spend takes a token, and reports whether there was one.
-func (a *account) spend(now time.Time) bool {
+// spend takes a token, and returns when it expires and whether there was one.
+func (a *account) spend(now time.Time) (expires time.Time, ok bool) {
 	a.expire(now)
 	if len(a.onHand) == 0 {
-		return false
+		return time.Time{}, false
 	}
+	expires = a.onHand[0].expires
 	if a.onHand[0].tokens--; a.onHand[0].tokens == 0 {
 		a.onHand = a.onHand[1:]
 	}
 	a.admitted += 1 / demandSpan.Seconds()
 	a.usage.Admitted++
-	return true
+	return expires, true
+}
+
+// takeReturned returns the number of tokens to give back, and forgets them. Those that
+// expired meanwhile are lost, for the same reason as those on hand.
+func (a *account) takeReturned(now time.Time) int {
+	total := 0
+	for _, g := range a.returned {
+		if now.Before(g.expires) {
+			total += g.tokens
+		}
+	}
+	a.returned = a.returned[:0]
+	return total
 }
 
 // credit adds tokens.
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -31,8 +31,7 @@
 			continue
 		}
 		a.askedAt = now
-		entries[owner.Host] = append(entries[owner.Host], Entry{Key: a.key, Tokens: uint32(min(want, maxTokens)), Returned: uint32(min(a.returned, maxTokens))})
-		a.returned = 0
+		entries[owner.Host] = append(entries[owner.Host], Entry{Key: a.key, Tokens: uint32(min(want, maxTokens)), Returned: uint32(min(a.takeReturned(now), maxTokens))})
 	}
 	clear(n.due[len(due):])
 	n.due = due
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -25,6 +25,16 @@
 	admit    func(host int, org *simOrg) bool
 	messages int
 	loss     float64
+	// refuseAfter is the time after which an upstream refuses a request that was admitted,
+	// zero if it runs it; refunds holds the requests that it will refuse.
+	refuseAfter time.Duration
+	refunds     []refund
+}
+
+type refund struct {
+	at, expires time.Time
+	host        *simHost
+	org         *simOrg
 }
 
 type simHost struct {
@@ -140,6 +150,7 @@
 			s.gossip()
 		}
 		s.deliver()
+		s.refund()
 		s.arrive()
 		for _, h := range s.hosts {
 			if s.down(h) || s.frozen(h) {
@@ -232,7 +243,7 @@
 			}
 			o.asked++
 			if s.admit != nil {
-				s.count(o, s.admit(h.index, o))
+				s.count(h, o, s.admit(h.index, o), time.Time{})
 				continue
 			}
 			d := h.node.Take(s.now, o.name)
@@ -241,16 +252,27 @@
 				s.send(h, h.node.Poll(s.now))
 				continue
 			}
-			s.count(o, d.Verdict == quota.Admitted)
+			s.count(h, o, d.Verdict == quota.Admitted, d.Expires)
 		}
 	}
 }
 
-func (s *simulation) count(o *simOrg, admitted bool) {
-	if admitted {
-		o.admitted = append(o.admitted, s.now)
-	} else {
+func (s *simulation) count(h *simHost, o *simOrg, admitted bool, expires time.Time) {
+	switch {
+	case !admitted:
 		o.refused++
+	case s.refuseAfter > 0:
+		s.refunds = append(s.refunds, refund{at: s.now.Add(s.refuseAfter), expires: expires, host: h, org: o})
+	default:
+		o.admitted = append(o.admitted, s.now)
+	}
+}
+
+// refund gives back the tokens of requests that upstreams refused.
+func (s *simulation) refund() {
+	for len(s.refunds) > 0 && !s.refunds[0].at.After(s.now) {
+		s.refunds[0].host.node.Refund(s.now, s.refunds[0].org.name, s.refunds[0].expires)
+		s.refunds = s.refunds[1:]
 	}
 }
 
@@ -265,7 +287,7 @@
 			left = append(left, w)
 			continue
 		}
-		s.count(w.org, d.Verdict == quota.Admitted)
+		s.count(h, w.org, d.Verdict == quota.Admitted, d.Expires)
 	}
 	h.waiting = left
 }
--- a/quota/node.go
+++ b/quota/node.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -30,6 +31,8 @@
 	Verdict Verdict
 	// RetryAfter is the time in which tokens come for what was refused lately.
 	RetryAfter time.Duration
+	// Expires is the time until which the token of an admitted request may be given back.
+	Expires time.Time
 }
 
 // Outgoing is a message to a node.
@@ -161,11 +164,11 @@
 	a.decay(now)
 	a.demand += 1 / demandSpan.Seconds()
 	a.usage.Asked++
-	if a.spend(now) {
+	if expires, ok := a.spend(now); ok {
 		if a.want(n.bounds.lifetime(limit)) > 0 && !now.Before(a.refusedUntil) {
 			n.markDue(a)
 		}
-		return Decision{Verdict: Admitted}
+		return Decision{Verdict: Admitted, Expires: expires}
 	}
 	if now.Before(a.refusedUntil) {
 		return n.refuse(a)
@@ -209,20 +212,27 @@
 	return Decision{Verdict: Unanswered}
 }
 
-// Refund gives back the token of a request that no upstream ran.
-func (n *Node) Refund(organisation string) {
+// Refund gives back the token of a request that no upstream ran, unless it expired: the
+// ledger may have minted another in its place.
+func (n *Node) Refund(now time.Time, organisation string, expires time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if a := n.accounts[Key(organisation)]; a != nil {
-		a.returned++
+	a := n.accounts[Key(organisation)]
+	if a == nil || !now.Before(expires) {
+		return
 	}
+	if last := len(a.returned) - 1; last >= 0 && a.returned[last].expires.Equal(expires) {
+		a.returned[last].tokens++
+		return
+	}
+	a.returned = append(slices.DeleteFunc(a.returned, func(g grant) bool { return !now.Before(g.expires) }), grant{tokens: 1, expires: expires})
 }
 
 // decide decides on one of the waiting requests of an account; n.mu is held.
 func (n *Node) decide(now time.Time, a *account) Decision {
-	if a.spend(now) {
+	if expires, ok := a.spend(now); ok {
 		a.waiting--
-		return Decision{Verdict: Admitted}
+		return Decision{Verdict: Admitted, Expires: expires}
 	}
 	if now.Before(a.refusedUntil) {
 		a.waiting--
@@ -294,8 +304,7 @@
 // askSelf grants an account what it wants from this node's own ledger; n.mu is held.
 func (n *Node) askSelf(now time.Time, a *account) {
 	want := a.want(n.bounds.lifetime(a.limit))
-	tokens, lifetime := n.grant(now, a.key, a.limit, want, a.returned)
-	a.returned = 0
+	tokens, lifetime := n.grant(now, a.key, a.limit, want, a.takeReturned(now))
 	a.standIn = !n.members.owns(now, a.key)
 	n.credit(now, a, n.members.self.Host, want, grant{tokens: tokens, expires: now.Add(lifetime)})
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -185,6 +185,17 @@
 		Expect(s.worstExcess()).To(BeZero())
 	})
 
+	It("keeps the bound after requests were refused that had waited for long", func() {
+		s.orgs[0].factor = 7
+		s.run(5*time.Second, nil)
+		s.refuseAfter = 3 * time.Second
+		s.run(6*time.Second, nil)
+		s.refuseAfter = 0
+		s.run(6*time.Second, nil)
+		report("late refusals")
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
 	It("serves an organisation again soon after its owner is killed", func() {
 		s.run(5*time.Second, nil)
 		owner := s.ownerOf(s.orgs[0])
@@ -306,12 +317,25 @@
 		entry, owner := pair()
 		answer, _ := owner.Handle(now, entry.Poll(now)[0].Message)
 		entry.Handle(now, answer)
-		Expect(entry.Retry(now, "shop").Verdict).To(Equal(quota.Admitted))
-		entry.Refund("shop")
+		d := entry.Retry(now, "shop")
+		Expect(d.Verdict).To(Equal(quota.Admitted))
+		Expect(d.Expires).To(BeTemporally(">", now))
+		entry.Refund(d.Expires, "shop", d.Expires)
+		entry.Refund(now, "shop", d.Expires)
 		Expect(entry.Take(now, "shop").Verdict).To(Equal(quota.Waiting))
 		Expect(entry.Poll(now)[0].Message.Entries[0].Returned).To(BeNumerically("==", 1))
 	})
 
+	It("gives no token back that expired before the next ask", func() {
+		entry, owner := pair()
+		answer, _ := owner.Handle(now, entry.Poll(now)[0].Message)
+		entry.Handle(now, answer)
+		d := entry.Retry(now, "shop")
+		entry.Refund(now, "shop", d.Expires)
+		Expect(entry.Take(d.Expires, "shop").Verdict).To(Equal(quota.Waiting))
+		Expect(entry.Poll(d.Expires)[0].Message.Entries[0].Returned).To(BeZero())
+	})
+
 	It("grants itself nothing before it knows the fleet", func() {
 		n := quota.NewNode("a", 1, bounds)
 		n.SetLimits(limits)
--- a/sidecar/quota.go
+++ b/sidecar/quota.go
@@ -88,11 +88,13 @@
 }
 
 func newQuotaDecision(d quota.Decision) ingress.QuotaDecision {
-	return ingress.QuotaDecision{Admitted: d.Verdict == quota.Admitted, Beyond: d.Verdict == quota.Refused, RetryAfter: d.RetryAfter}
+	return ingress.QuotaDecision{Admitted: d.Verdict == quota.Admitted, Beyond: d.Verdict == quota.Refused, RetryAfter: d.RetryAfter, Expires: d.Expires}
 }
 
 // Refund implements ingress.Quota.
-func (q *quotas) Refund(organisation string) { q.node.Refund(organisation) }
+func (q *quotas) Refund(organisation string, expires time.Time) {
+	q.node.Refund(q.sidecar.clock.Now(), organisation, expires)
+}
 
 // activate brings the limits up to date, and the view if the loop does not run.
 func (q *quotas) activate() {
