quota: serve a limit without a burst where nothing beyond it is tolerated

Cause: the tokens in the ledger and on hand were bounded by the burst and a part of the tolerance. With the defaults of the settings (no overage, no slack) and no burst that is zero, so that every request of the organisation was refused. Change: the bound is at least one token, and those on hand for the least lifetime at the full rate; the owner mints less by as much as it takes to keep the window.

--- a/quota/bounds.go
+++ b/quota/bounds.go
@@ -51,8 +51,20 @@
 	return l.Rate*b.Window.Seconds() + l.Burst + b.tolerance(l)
 }
 
-// capacity bounds the tokens in a ledger and on hand at all nodes together.
-func (b Bounds) capacity(l Limit) float64 { return l.Burst + leaseShare*b.tolerance(l) }
+// spare returns how many tokens in a ledger and on hand the burst and the tolerance cover.
+func (b Bounds) spare(l Limit) float64 { return l.Burst + leaseShare*b.tolerance(l) }
+
+// capacity bounds the tokens in a ledger and on hand at all nodes together. It holds at least
+// one, and what is on hand for the least lifetime at the full rate.
+func (b Bounds) capacity(l Limit) float64 {
+	return max(b.spare(l), 1, l.Rate*minLifetime.Seconds()/lifetimeShare)
+}
+
+// mintRate returns how many tokens an owner mints per second: the rate, less what makes up
+// for a capacity that the burst and the tolerance do not cover.
+func (b Bounds) mintRate(l Limit) float64 {
+	return max(0, l.Rate-(b.capacity(l)-b.spare(l))/b.Window.Seconds())
+}
 
 // standInRate returns how many tokens per second a stand-in mints.
 func (b Bounds) standInRate(l Limit) float64 {
--- a/quota/node.go
+++ b/quota/node.go
@@ -294,7 +294,7 @@
 // mint brings a ledger up to now; n.mu is held.
 func (n *Node) mint(now time.Time, key uint64, limit Limit, l *ledger) {
 	if n.members.owns(now, key) {
-		l.mint(now, limit.Rate*n.members.share(now), n.bounds.capacity(limit))
+		l.mint(now, n.bounds.mintRate(limit)*n.members.share(now), n.bounds.capacity(limit))
 		return
 	}
 	rate := n.bounds.standInRate(limit)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -210,6 +210,28 @@
 		Expect(float64(s.orgs[0].refused) / float64(s.orgs[0].asked)).To(BeNumerically("<", calmRefusals))
 	})
 
+	It("serves organisations without a burst where nothing beyond the limit is tolerated", func() {
+		s.bounds.Overage, s.bounds.Slack = 0, 0
+		for _, o := range s.orgs {
+			o.limit.Burst = 0
+		}
+		for _, h := range s.hosts {
+			s.startProcess(h)
+		}
+		s.orgs[3].factor = 7
+		s.run(5*time.Second, nil)
+		s.reset()
+		s.run(10*time.Second, nil)
+		report("no burst")
+		for _, o := range s.orgs[:3] {
+			Expect(float64(o.refused)/float64(o.asked)).To(BeNumerically("<", calmRefusals), o.name)
+		}
+		for _, o := range s.orgs {
+			Expect(o.admitted).NotTo(BeEmpty(), o.name)
+		}
+		Expect(s.worstExcess()).To(BeZero())
+	})
+
 	It("serves while a tenth of the datagrams is lost", func() {
 		s.loss = 0.1
 		s.run(15*time.Second, nil)
