--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -403,7 +403,7 @@
 		owner.SetLimits(nil)
 		Expect(owner.Idle()).To(BeTrue())
 
-		entry, owner = pair()
+		entry, _ = pair()
 		ask := entry.Poll(now)[0].Message
 		standIn := node("z", ask.Host, "a", "b")
 		for i := 0; standIn.Take(now, "shop").Verdict != quota.Waiting; i++ {
