sidecar: specs take ports that are free for TCP and UDP, from wider ranges

A port was only tried with TCP, and each process has a range of 1000.

Change: a port is tried with both, and ranges have 1500 ports, still below the ephemeral ones. No check changed.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -82,7 +82,7 @@
 	// portRanges is the number of ranges, one for each test process at a time, and
 	// portsPerRange the number of ports in each.
 	portRanges    = 8
-	portsPerRange = 1000
+	portsPerRange = 1500
 )
 
 var (
@@ -117,6 +117,11 @@
 			continue
 		}
 		_ = listener.Close()
+		packets, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
 		return address
 	}
 	Fail("no free port")
