fleet: one search for the upstreams of a service

Serving and ServingDomains each had the loop that prefers live nodes to silent ones. Both use one without copies now, and Serving copies into a slice of the right length.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -71,11 +71,6 @@
 // changed.
 func (p *Peer) Beacon() *Beacon { return p.beacon }
 
-// serves reports whether the node has an upstream of a service that takes calls.
-func (p *Peer) serves(service string) bool {
-	return p.beacon.Service == service && p.beacon.Phase == Ready && !p.beacon.Stopping
-}
-
 // Key returns the name that identifies the node's upstream.
 func (p *Peer) Key() string { return p.key }
 
@@ -311,26 +306,13 @@
 func (v *View) ServingDomains(service string) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var live, silent []string
-	add := func(domains []string, peer *Peer) []string {
-		if slices.Contains(domains, peer.beacon.FailureDomain) {
-			return domains
+	var domains []string
+	for _, peer := range v.serving(service) {
+		if !slices.Contains(domains, peer.beacon.FailureDomain) {
+			domains = append(domains, peer.beacon.FailureDomain)
 		}
-		return append(domains, peer.beacon.FailureDomain)
-	}
-	for _, peer := range v.sorted {
-		switch {
-		case !peer.serves(service):
-		case !peer.silent:
-			live = add(live, peer)
-		case len(live) == 0:
-			silent = add(silent, peer)
-		}
-	}
-	if len(live) == 0 {
-		return silent
 	}
-	return live
+	return domains
 }
 
 // Serving returns the nodes whose upstream takes calls of a service. It returns
@@ -338,14 +320,24 @@
 func (v *View) Serving(service string) []Peer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var live, silent []Peer
+	serving := v.serving(service)
+	peers := make([]Peer, len(serving))
+	for i, peer := range serving {
+		peers[i] = *peer
+	}
+	return peers
+}
+
+// serving is Serving without copies; v.mu must be held.
+func (v *View) serving(service string) []*Peer {
+	var live, silent []*Peer
 	for _, peer := range v.sorted {
 		switch {
-		case !peer.serves(service):
+		case peer.beacon.Service != service || peer.beacon.Phase != Ready || peer.beacon.Stopping:
 		case !peer.silent:
-			live = append(live, *peer)
+			live = append(live, peer)
 		case len(live) == 0:
-			silent = append(silent, *peer)
+			silent = append(silent, peer)
 		}
 	}
 	if len(live) == 0 {
