ingress: build the candidates for leaving by room in one place

domainsOf and pricedCandidates wrote the loop of routingCandidates again. Loads reads the name, slots and group only, and a priced candidate ignores its transfer bytes, so that the result is the same; go test ./ingress ./routing ./locality passes.

--- a/ingress/leaving.go
+++ b/ingress/leaving.go
@@ -155,13 +155,9 @@
 
 // domainsOf returns the failure domains of the upstreams with their loads.
 func (s *session) domainsOf(now time.Time, peers []fleet.Peer) []locality.Domain {
-	candidates := make([]routing.Candidate, len(peers))
-	for i, peer := range peers {
-		candidates[i] = routing.NewCandidate(peer.Key(), peer.Beacon().Slots, 0, !s.local(peer)).WithGroup(peer.Group())
-	}
 	var domains []locality.Domain
 	var counts []time.Duration
-	for i, known := range s.in.policy.Loads(now, candidates) {
+	for i, known := range s.in.policy.Loads(now, s.routingCandidates(peers)) {
 		name := peers[i].Beacon().FailureDomain
 		at := indexOfDomain(domains, name)
 		if at < 0 {
@@ -217,11 +213,9 @@
 	for i, domain := range domains {
 		costs[i] = s.in.leaving.decider.WayCost(placed, domain).Cost()
 	}
-	candidates := make([]routing.Candidate, len(peers))
+	candidates := s.routingCandidates(peers)
 	for i, peer := range peers {
-		b := peer.Beacon()
-		candidates[i] = routing.NewCandidate(peer.Key(), b.Slots, 0, !s.local(peer)).
-			WithGroup(peer.Group()).WithWayCost(costs[indexOfDomain(domains, b.FailureDomain)])
+		candidates[i] = candidates[i].WithWayCost(costs[indexOfDomain(domains, peer.Beacon().FailureDomain)])
 	}
 	return candidates
 }
