review: choose all ports of a node before any is free again

Cause: the ports of a node were taken one by one, so that two fleets on one machine could choose the same; one of several trial runs side by side could not start.

Change: the listeners that find the free ports stay open until all are known, and a process that ends at its start is named at once.

--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -118,18 +118,9 @@
 	f.platform.Store(wire["configuration"], configuration)
 	for i, service := range services {
 		n := &node{fleet: f, name: fmt.Sprintf("sidecar-%d", i+1), zone: zones[i%len(zones)], service: service}
-		for _, address := range []*string{&n.callers, &n.hops, &n.ready, &n.control, &n.metrics, &n.backend} {
-			free, err := freeAddress("tcp")
-			if err != nil {
-				return err
-			}
-			*address = free
-		}
-		free, err := freeAddress("udp")
-		if err != nil {
+		if err := n.chooseAddresses(); err != nil {
 			return err
 		}
-		n.datagrams = free
 		f.nodes = append(f.nodes, n)
 	}
 	for _, n := range f.nodes {
@@ -149,22 +140,23 @@
 	return nil
 }
 
-// freeAddress returns a free port on the loopback interface.
-func freeAddress(network string) (string, error) {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+// chooseAddresses sets the addresses of the node to free ports on the loopback interface.
+func (n *node) chooseAddresses() error {
+	for _, address := range []*string{&n.callers, &n.hops, &n.ready, &n.control, &n.metrics, &n.backend} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return "", err
+			return err
 		}
-		defer func() { _ = conn.Close() }()
-		return conn.LocalAddr().String(), nil
+		// The others are chosen before this one is free again.
+		defer func() { _ = listener.Close() }()
+		*address = listener.Addr().String()
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return err
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	n.datagrams = conn.LocalAddr().String()
+	return conn.Close()
 }
 
 // start starts the process of the node.
@@ -223,6 +215,11 @@
 func (n *node) awaitReady() error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-n.ended:
+			return fmt.Errorf("the process of %s has ended", n.name)
+		default:
+		}
 		response, err := client.Get("http://" + n.ready + "/ready")
 		if err != nil {
 			continue
