review: count the orders lost with each crash in case 9

Cause: the case showed the arrivals of the request that crashes upstreams, and not what else was lost.

Change: ordinary orders run beside it; those that an upstream began to run and did not answer are counted. The check is the same.

--- a/review/standins-2/crashing.go
+++ b/review/standins-2/crashing.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,8 @@
 	resends     = 5
 	resendPause = 700 * time.Millisecond
 	rounds      = 3
+	// ordinaryRate is the rate of ordinary orders, in requests per second.
+	ordinaryRate = 40
 )
 
 // crashLog collects the arrivals of the request that crashes upstreams.
@@ -37,6 +40,7 @@
 // some seconds later with a new identity.
 func startCrashing(n *node, l *crashLog, upstreams *upstreamList) error {
 	u, err := startUpstream(n, func(u *upstream) {
+		u.work = payTime
 		u.decide = func(path string) verdict {
 			if path != crashingPath {
 				return runs
@@ -75,6 +79,12 @@
 	}
 }
 
+func (l *upstreamList) all() []*upstream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]*upstream(nil), l.list...)
+}
+
 func (l *upstreamList) endAll() {
 	l.mu.Lock()
 	l.done = true
@@ -101,7 +111,12 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
-	c := newCallers(r)
+	c, ordinary := newCallers(r), newCallers(r)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ordinary.orders(f.nodes, stop)
+	}()
 	next := 0
 	for round := range rounds {
 		for range resends {
@@ -120,6 +135,13 @@
 			time.Sleep(stableTime + time.Second)
 		}
 	}
+	close(stop)
+	<-stopped
+	lost := 0
+	for _, u := range upstreams.all() {
+		lost += countLost(u, ordinary.all())
+	}
+	r.result("%d of %d ordinary orders ran at an upstream and got no answer of it", lost, len(ordinary.all()))
 	l.mu.Lock()
 	times := append([]time.Time(nil), l.times...)
 	l.mu.Unlock()
@@ -137,3 +159,21 @@
 		len(c.all()), len(times), further, stableTime)
 	return further > allowedRetries, nil
 }
+
+// orders sends ordinary orders to the nodes that are ready, each with a body of its own.
+func (c *callers) orders(nodes []*node, stop <-chan struct{}) {
+	ticker := time.NewTicker(time.Second / ordinaryRate)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		c.group.Add(1)
+		go func() {
+			defer c.group.Done()
+			c.send(nodes[i%len(nodes)], "/order/1", fmt.Sprintf("order %d", i))
+		}()
+	}
+}
