--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -64,6 +65,7 @@
 type fleet struct {
 	record   *record
 	folder   string
+	host     string
 	platform *standin.Platform
 	server   *http.Server
 	address  string
@@ -90,11 +92,13 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own keeps the ports of the fleet apart from those of other processes.
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(200), rand.IntN(250), 1+rand.IntN(250))
+	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, folder: folder, platform: standin.NewPlatform(), address: listener.Addr().String()}
+	f := &fleet{record: r, folder: folder, host: host, platform: standin.NewPlatform(), address: listener.Addr().String()}
 	f.server = &http.Server{Handler: f.platform, ReadHeaderTimeout: time.Minute}
 	go func() { _ = f.server.Serve(listener) }()
 	return f, nil
@@ -143,7 +147,7 @@
 // chooseAddresses sets the addresses of the node to free ports on the loopback interface.
 func (n *node) chooseAddresses() error {
 	for _, address := range []*string{&n.callers, &n.hops, &n.ready, &n.control, &n.metrics, &n.backend} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", n.fleet.host+":0")
 		if err != nil {
 			return err
 		}
@@ -151,7 +155,7 @@
 		defer func() { _ = listener.Close() }()
 		*address = listener.Addr().String()
 	}
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	conn, err := net.ListenPacket("udp", n.fleet.host+":0")
 	if err != nil {
 		return err
 	}
