review: take the ports of all nodes of a fleet at a time

Cause: the ports of one node were free again before those of the next were chosen, so that two nodes now and then got the same one.

Change: all ports of a fleet stay taken until the last is chosen, and the message of a process that ends at its start is part of the result.

--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -120,13 +122,22 @@
 // start stores a configuration, and starts one node for each of the services.
 func (f *fleet) start(services []string, configuration []byte) error {
 	f.platform.Store(wire["configuration"], configuration)
+	var closers []io.Closer
 	for i, service := range services {
 		n := &node{fleet: f, name: fmt.Sprintf("sidecar-%d", i+1), zone: zones[i%len(zones)], service: service}
-		if err := n.chooseAddresses(); err != nil {
+		chosen, err := n.chooseAddresses()
+		closers = append(closers, chosen...)
+		if err != nil {
 			return err
 		}
 		f.nodes = append(f.nodes, n)
 	}
+	// All addresses are known now, each a different one.
+	for _, c := range closers {
+		if err := c.Close(); err != nil {
+			return err
+		}
+	}
 	for _, n := range f.nodes {
 		if err := n.start(true); err != nil {
 			return err
@@ -144,23 +155,24 @@
 	return nil
 }
 
-// chooseAddresses sets the addresses of the node to free ports on the loopback interface.
-func (n *node) chooseAddresses() error {
+// chooseAddresses sets the addresses of the node to free ports, which stay taken until what
+// it returns is closed.
+func (n *node) chooseAddresses() ([]io.Closer, error) {
+	var closers []io.Closer
 	for _, address := range []*string{&n.callers, &n.hops, &n.ready, &n.control, &n.metrics, &n.backend} {
 		listener, err := net.Listen("tcp", n.fleet.host+":0")
 		if err != nil {
-			return err
+			return closers, err
 		}
-		// The others are chosen before this one is free again.
-		defer func() { _ = listener.Close() }()
+		closers = append(closers, listener)
 		*address = listener.Addr().String()
 	}
 	conn, err := net.ListenPacket("udp", n.fleet.host+":0")
 	if err != nil {
-		return err
+		return closers, err
 	}
 	n.datagrams = conn.LocalAddr().String()
-	return conn.Close()
+	return append(closers, conn), nil
 }
 
 // start starts the process of the node.
@@ -171,7 +183,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
-	output, err := os.OpenFile(filepath.Join(n.fleet.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	output, err := os.OpenFile(n.outputPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -191,6 +203,9 @@
 	return nil
 }
 
+// outputPath returns the file with the output of the node's processes.
+func (n *node) outputPath() string { return filepath.Join(n.fleet.folder, n.name+".log") }
+
 // signal sends a signal to the process.
 func (n *node) signal(s syscall.Signal) {
 	if n.command == nil || n.command.Process == nil {
@@ -221,7 +236,9 @@
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		select {
 		case <-n.ended:
-			return fmt.Errorf("the process of %s has ended", n.name)
+			output, _ := os.ReadFile(n.outputPath())
+			lines := bytes.Split(bytes.TrimSpace(output), []byte("\n"))
+			return fmt.Errorf("the process of %s has ended: %s", n.name, lines[len(lines)-1])
 		default:
 		}
 		response, err := client.Get("http://" + n.ready + "/ready")
