http1: report surplus responses and number connections

A response that no request accepted was dropped, and a connection with an unread response was closed, without a trace. So nobody could tell on which connection a request ran, nor whether a response to it came later.

Each connection of a Pool now has a number, and each Response tells it and how many requests the connection has carried.

No decision changes: which connection is used, which is closed and which response is accepted is as before.

--- a/http1/head.go
+++ b/http1/head.go
@@ -44,8 +44,17 @@
 	// keepAlive means that the server allows further requests on the connection.
 	keepAlive bool
 	conn      *clientConn
+	// connection and exchange stay after Release.
+	connection, exchange uint64
 }
 
+// Connection returns the number of the connection that the response came on, in the
+// order in which its pool opened them, from 1.
+func (r *Response) Connection() uint64 { return r.connection }
+
+// Exchange returns how many requests that connection had carried when the response came.
+func (r *Response) Exchange() uint64 { return r.exchange }
+
 // limitedReader bounds how much of source is read for the head or the trailer section
 // of a message.
 type limitedReader struct {
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -270,10 +270,10 @@
 	return listener.Addr().String()
 }
 
-func newPool(address string) *http1.Pool {
+func newPool(address string, options ...http1.PoolOption) *http1.Pool {
 	p := http1.NewPool(address, func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
-	}, clock.System{}, time.Minute)
+	}, clock.System{}, time.Minute, options...)
 	DeferCleanup(p.Close)
 	return p
 }
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -29,6 +29,8 @@
 
 // OutgoingRequest is a request that a Pool sends.
 type OutgoingRequest struct {
+	// ID identifies the request to the pool's observer.
+	ID     string
 	Method string
 	Target string
 	Host   string
@@ -57,6 +59,9 @@
 	dial        Dial
 	clock       Clock
 	idleTimeout time.Duration
+	observer    func(Surplus)
+	// surplusReads holds a token for each connection whose unread bytes are being read.
+	surplusReads chan struct{}
 
 	mu     sync.Mutex
 	idle   []*clientConn
@@ -64,9 +69,19 @@
 	opened uint64
 }
 
+// PoolOption configures a Pool.
+type PoolOption func(*Pool)
+
 // NewPool returns a Pool that keeps idle connections for idleTimeout.
-func NewPool(address string, dial Dial, clock Clock, idleTimeout time.Duration) *Pool {
-	return &Pool{address: address, dial: dial, clock: clock, idleTimeout: idleTimeout}
+func NewPool(address string, dial Dial, clock Clock, idleTimeout time.Duration, options ...PoolOption) *Pool {
+	p := &Pool{
+		address: address, dial: dial, clock: clock, idleTimeout: idleTimeout,
+		surplusReads: make(chan struct{}, maxSurplusReads),
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // SetIdleTimeout sets how long idle connections are kept.
@@ -96,7 +111,11 @@
 
 // clientConn is one connection to a server.
 type clientConn struct {
-	pool      *Pool
+	pool *Pool
+	// number is the position of the connection in the order of opening.
+	number uint64
+	// exchanges counts the requests sent.
+	exchanges uint64
 	conn      net.Conn
 	limited   *limitedReader
 	br        *bufio.Reader
@@ -125,10 +144,16 @@
 		p.idle = p.idle[:last]
 		expired := p.clock.Now().Sub(c.idleSince) > p.idleTimeout
 		p.mu.Unlock()
-		if !expired && c.br.Buffered() == 0 && reusable(c.conn) {
+		open, unread := reusable(c.conn)
+		unread = unread || c.br.Buffered() > 0
+		switch {
+		case unread:
+			c.closeUnread()
+		case expired || !open:
+			c.close()
+		default:
 			return c
 		}
-		c.close()
 	}
 }
 
@@ -162,9 +187,10 @@
 	}
 	p.mu.Lock()
 	p.opened++
+	number := p.opened
 	p.mu.Unlock()
 	limited := &limitedReader{source: conn, remaining: unlimited}
-	return &clientConn{pool: p, conn: conn, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, nil
+	return &clientConn{pool: p, number: number, conn: conn, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
 
 // Do sends a request once and returns the response, whose Release must be called.
@@ -192,6 +218,7 @@
 }
 
 func (c *clientConn) exchange(out *OutgoingRequest) (*Response, error) {
+	c.exchanges++
 	c.sendResult = make(chan error, 1)
 	head := c.encode(out)
 	if out.Rest == nil && len(out.Body) <= maxInlineBody {
@@ -213,9 +240,11 @@
 			continue
 		}
 		c.limited.remaining = unlimited
+		response.connection, response.exchange = c.number, c.exchanges
 		if out.Accept == nil || out.Accept(response) {
 			return response, nil
 		}
+		c.observe(response, out)
 		stale++
 		if stale > maxStaleResponses {
 			return nil, eris.New("the responses belong to other requests")
--- a/http1/reusable.go
+++ b/http1/reusable.go
@@ -5,23 +5,23 @@
 	"syscall"
 )
 
-// reusable reports whether an idle connection is open and has no unread data. Such
-// data would be a response that no request is waiting for.
-func reusable(conn net.Conn) bool {
-	source, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
+// reusable reports whether an idle connection is open and has no unread data, and
+// whether it has such data: a response that no request is waiting for.
+func reusable(conn net.Conn) (ok, unread bool) {
+	source, isSocket := conn.(syscall.Conn)
+	if !isSocket {
+		return true, false
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
 	open := false
 	var peeked [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
+		n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open, unread = err == syscall.EAGAIN, n > 0
 		return true
 	})
-	return err == nil && open
+	return err == nil && open, unread
 }
