egress: log the connection of each run and each discarded response

Run lines now name connection, exchange and the status of a rejection, and response-discarded lines the request that waited, the one that the response is for, and whether it says not run or is stamped. The sidecar exposes the numbers of discarded responses and of opened connections; explain collects the new lines by either request.

Runs without an answer get a limit of their own.

No decision changes.

--- a/cmd/banyancross/explain.go
+++ b/cmd/banyancross/explain.go
@@ -52,8 +52,15 @@
 	return lines, err
 }
 
-// match parses a log line and reports whether it is about the request or about a
-// call made while serving it, whose identity is the request's, a dot and a suffix.
+// names reports whether an identity is that of the request or of a call made while
+// serving it, whose identity is the request's, a dot and a suffix.
+func (command *explainCommand) names(id any) bool {
+	text, _ := id.(string)
+	return text == command.Request || strings.HasPrefix(text, command.Request+".")
+}
+
+// match parses a log line and reports whether it is about the request, a call made
+// while serving it, or a response to either.
 func (command *explainCommand) match(object string) (logLine, bool) {
 	if !strings.Contains(object, command.Request) {
 		return logLine{}, false
@@ -62,8 +69,7 @@
 	if json.Unmarshal([]byte(object), &fields) != nil {
 		return logLine{}, false
 	}
-	id, _ := fields["request"].(string)
-	if id != command.Request && !strings.HasPrefix(id, command.Request+".") {
+	if !command.names(fields["request"]) && !command.names(fields["response-to"]) {
 		return logLine{}, false
 	}
 	var trail struct {
--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -201,6 +201,7 @@
 		finish(false)
 		return answer
 	}
+	head := received{status: response.Status, connection: response.Connection(), exchange: response.Exchange()}
 	answer := platform.ReadResponseHeaders(response.Status, response.Header)
 	g.recordReport(t, answer, response.Header)
 	if reason := g.discardReason(t, answer, response); reason != "" {
@@ -213,13 +214,14 @@
 		}
 		refused := Refusal(outcome, reason)
 		refused.Meta.ReachedUpstream = true
+		refused.received = head
 		refused.notReceived = response.Status == http.StatusMisdirectedRequest
 		return refused
 	}
 	g.blocklist.Answered(g.clock.Now(), meta.Fingerprint)
 	g.recordOutcome(response.Status >= http.StatusInternalServerError)
 	return &Answer{
-		Meta: hop.AnswerMeta{Outcome: call.Answered, ReachedUpstream: true, NestedCalls: g.nestedCalls(run)}, Response: response,
+		Meta: hop.AnswerMeta{Outcome: call.Answered, ReachedUpstream: true, NestedCalls: g.nestedCalls(run)}, Response: response, received: head,
 		Finish: func() {
 			response.Release()
 			finish(response.Body.Complete())
@@ -235,7 +237,7 @@
 	hop.Strip(header)
 	platform.SetForwardingHeaders(header, platform.ForwardingHeaders{Instance: t.instance, Remaining: remaining, Caller: meta.CallerService, Organisation: meta.Organisation})
 	return &http1.OutgoingRequest{
-		Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content, Rest: c.Rest,
+		ID: meta.ID, Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Content, Rest: c.Rest,
 		Accept: acceptID(meta.ID),
 	}
 }
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -68,6 +68,14 @@
 	err error
 	// notReceived means that the upstream itself did not receive the request.
 	notReceived bool
+	received    received
+}
+
+// received describes the response to a request for the log, zero without one.
+type received struct {
+	status int
+	// connection and exchange are those of http1.Response.
+	connection, exchange uint64
 }
 
 // Refusal returns the answer to an attempt that got no response.
@@ -104,13 +112,18 @@
 	notifiedLoad notifiedLoad
 	saturation   saturation
 	// restored holds the estimates from the store, by service.
-	restored   map[string]SaturationEstimate
-	runTimes   map[string]*movingMean
-	entryNodes map[string]time.Time
-	brokenRuns []brokenRun
-	runLog     runLog
-	probes     uint64
-	warmup     warmupState
+	restored      map[string]SaturationEstimate
+	runTimes      map[string]*movingMean
+	entryNodes    map[string]time.Time
+	brokenRuns    []brokenRun
+	runLog        lineLimit
+	unansweredLog lineLimit
+	discardLog    lineLimit
+	discarded     uint64
+	// openedEarlier counts the connections that earlier pools opened.
+	openedEarlier uint64
+	probes        uint64
+	warmup        warmupState
 }
 
 // Option configures a Gate.
@@ -156,7 +169,7 @@
 		clock: clock.System{}, logger: log.NewNopLogger(), address: address, table: table, notifyPhase: func() {}, nestedExcess: func() map[string]float32 { return nil },
 		departed: map[incarnation]struct{}{}, runs: map[string]*Run{},
 		entryNodes: map[string]time.Time{}, runTimes: map[string]*movingMean{}, notifyLoad: func() {}, notifySaturation: func() {}, restored: map[string]SaturationEstimate{},
-		blocklist: quarantine.NewBlocklist(), evacuated: func() bool { return false }, runLog: newRunLog(), warmup: newWarmupState(),
+		blocklist: quarantine.NewBlocklist(), evacuated: func() bool { return false }, runLog: newLineLimit(runLinesPerSecond), unansweredLog: newLineLimit(runLinesPerSecond), discardLog: newLineLimit(discardLinesPerSecond), warmup: newWarmupState(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
--- a/egress/runlog.go
+++ b/egress/runlog.go
@@ -9,32 +9,50 @@
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/platform"
 )
 
-// runLinesPerSecond bounds the rate and the burst of log lines about runs.
-const runLinesPerSecond = 60
+const (
+	// runLinesPerSecond bounds the rate and the burst of log lines about runs with an
+	// answer, and of those about runs without one.
+	runLinesPerSecond = 60
+	// discardLinesPerSecond bounds the rate and the burst of log lines about discarded
+	// responses.
+	discardLinesPerSecond = 20
+)
 
-// runLog limits the log lines about runs that are not idempotent or ended without
-// an answer. If their entry node fails, these lines are the only record of them.
-type runLog struct {
+// lineLimit limits the log lines of a kind. Those about runs that are not idempotent or
+// ended without an answer are the only record of them if their entry node fails.
+type lineLimit struct {
 	limit   *rate.Limiter
 	omitted uint64
 }
 
-func newRunLog() runLog { return runLog{limit: rate.NewLimiter(runLinesPerSecond, runLinesPerSecond)} }
+func newLineLimit(perSecond int) lineLimit {
+	return lineLimit{limit: rate.NewLimiter(rate.Limit(perSecond), perSecond)}
+}
 
-// allowRunLine reports whether another line about runs may be written, and how many were
-// omitted since the one before it.
-func (g *Gate) allowRunLine() (omitted uint64, ok bool) {
+// allow reports whether another line may be written, and how many were omitted since the
+// one before it.
+func (l *lineLimit) allow(now time.Time) (omitted uint64, ok bool) {
+	if !l.limit.AllowN(now, 1) {
+		l.omitted++
+		return 0, false
+	}
+	omitted, l.omitted = l.omitted, 0
+	return omitted, true
+}
+
+// allowRunLine calls allow for a line about a run. Runs without an answer have a limit of
+// their own, so that others don't hide them.
+func (g *Gate) allowRunLine(answered bool) (omitted uint64, ok bool) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.runLog.limit.AllowN(now, 1) {
-		g.runLog.omitted++
-		return 0, false
+	if answered {
+		return g.runLog.allow(now)
 	}
-	omitted, g.runLog.omitted = g.runLog.omitted, 0
-	return omitted, true
+	return g.unansweredLog.allow(now)
 }
 
 // logRun logs the end of a run that is not idempotent or got no answer.
@@ -42,18 +60,15 @@
 	if meta.Idempotent && answer.Meta.Outcome == call.Answered {
 		return
 	}
-	omitted, ok := g.allowRunLine()
+	omitted, ok := g.allowRunLine(answer.Meta.Outcome == call.Answered)
 	if !ok {
 		return
 	}
-	status := 0
-	if answer.Response != nil {
-		status = answer.Response.Status
-	}
 	fields := []any{
 		"event", "run", "request", meta.ID, "route", meta.Route, "upstream", meta.Upstream,
 		"entry", meta.EntryHost, "idempotent", meta.Idempotent, "outcome", answer.Meta.Outcome, "reason", answer.Meta.Reason,
-		"status", status, "took-ms", elapsed.Milliseconds(), "left-ms", meta.Remaining.Milliseconds(), "omitted", omitted,
+		"status", answer.received.status, "connection", answer.received.connection, "exchange", answer.received.exchange,
+		"took-ms", elapsed.Milliseconds(), "left-ms", meta.Remaining.Milliseconds(), "omitted", omitted,
 	}
 	if answer.err != nil {
 		fields = append(fields, "err", answer.err)
@@ -64,10 +79,51 @@
 // logBrokenResponse logs that the body of an upstream's response could not be read to
 // its end.
 func (g *Gate) logBrokenResponse(meta hop.Meta, response *http1.Response, err error) {
-	omitted, ok := g.allowRunLine()
+	omitted, ok := g.allowRunLine(false)
 	if !ok {
 		return
 	}
 	_ = level.Info(g.logger).Log("event", "response-broken", "request", meta.ID, "route", meta.Route, "upstream", meta.Upstream,
 		"entry", meta.EntryHost, "status", response.Status, "length", response.Length, "err", err, "omitted", omitted)
 }
+
+// surplusObserver returns a function that counts and logs the surplus responses of an
+// upstream.
+func (g *Gate) surplusObserver(instance string) func(http1.Surplus) {
+	return func(s http1.Surplus) {
+		now := g.clock.Now()
+		g.mu.Lock()
+		g.discarded++
+		omitted, ok := g.discardLog.allow(now)
+		g.mu.Unlock()
+		if !ok {
+			return
+		}
+		waiting := ""
+		if s.Request != nil {
+			waiting = s.Request.ID
+		}
+		response := platform.ReadResponseHeaders(s.Status, s.Header)
+		_ = level.Info(g.logger).Log("event", "response-discarded", "request", waiting, "unread", s.Request == nil,
+			"response-to", response.ID(), "status", s.Status, "rejected", response.NotRun(), "stamped", response.Stamped(),
+			"upstream", instance, "connection", s.Connection, "exchange", s.Exchange, "omitted", omitted)
+	}
+}
+
+// Discarded returns the number of responses discarded so far because they belonged to no
+// request in progress.
+func (g *Gate) Discarded() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.discarded
+}
+
+// ConnectionsOpened returns the number of connections opened to upstreams so far.
+func (g *Gate) ConnectionsOpened() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pool == nil {
+		return g.openedEarlier
+	}
+	return g.openedEarlier + g.pool.Opened()
+}
--- a/egress/runlog_test.go
+++ b/egress/runlog_test.go
@@ -3,9 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
@@ -73,4 +77,132 @@
 		Entry("a truncated body", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\nContent-Length: 9\r\n\r\nA",
 			`"err":"unexpected EOF","event":"response-broken",.*"request":"a"`),
 	)
+
+	DescribeTable("names the discarded responses and the connection of each run", func(second []string, lines ...string) {
+		// The upstream answers health checks on any connection, and the calls in order.
+		var mu sync.Mutex
+		calls := []string{rejectionOf("a")}
+		calls = append(calls, second...)
+		address, t := listen(func(conn net.Conn) {
+			br := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				text := "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
+				if r.URL.Path != "/healthz" {
+					mu.Lock()
+					text, calls = calls[0], calls[1:]
+					mu.Unlock()
+				}
+				_, _ = io.WriteString(conn, text)
+			}
+		}), table()
+		var logs bytes.Buffer
+		gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithLogger(log.NewJSONLogger(log.NewSyncWriter(&logs))))
+		Expect(gate.Heartbeat(heartbeat(address, "i-1", "ready", 1000, 1))).To(BeTrue())
+		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		for _, id := range []string{"a", "b", "c"} {
+			m := meta(id)
+			m.Idempotent = false
+			do(gate, m)
+		}
+		Eventually(gate.Discarded).Should(Equal(uint64(1)))
+		Expect(gate.ConnectionsOpened()).To(BeNumerically(">=", 1))
+		gate.Close()
+		for _, line := range lines {
+			Expect(logs.String()).To(MatchRegexp(line))
+		}
+	},
+		Entry("one that is discarded while another call waits", []string{rejectionOf("a") + responseTo("b"), responseTo("c")},
+			`"connection":\d+,"event":"response-discarded","exchange":\d+,"level":"info","omitted":0,"rejected":true,"request":"b","response-to":"a",`+
+				`"stamped":false,"status":503,"unread":false,"upstream":"i-1"`,
+			`"connection":[1-9]\d*,.*"event":"run","exchange":[1-9]\d*,.*"reason":"rejected","request":"a",.*"status":503`,
+			`"connection":[1-9]\d*,.*"event":"run","exchange":[1-9]\d*,.*"outcome":"answered",.*"request":"b",.*"status":200`),
+		Entry("one that is unread on an idle connection", []string{responseTo("b") + responseTo("a"), responseTo("c")},
+			`"connection":\d+,"event":"response-discarded","exchange":\d+,"level":"info","omitted":0,"rejected":false,"request":"","response-to":"a",`+
+				`"stamped":true,"status":200,"unread":true,"upstream":"i-1"`),
+	)
+
+	It("names both rejections of a request, however many runs have an answer", func() {
+		address, t := listen(func(conn net.Conn) {
+			br := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				id := r.Header.Get("Request-Id")
+				switch id {
+				case "":
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n")
+				case "rejected":
+					_, _ = io.WriteString(conn, rejectionOf(id))
+				default:
+					_, _ = io.WriteString(conn, responseTo(id))
+				}
+			}
+		}), table()
+		var logs bytes.Buffer
+		gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithLogger(log.NewJSONLogger(log.NewSyncWriter(&logs))))
+		Expect(gate.Heartbeat(heartbeat(address, "i-1", "ready", 1000, 1))).To(BeTrue())
+		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		unsafe := func(id string) {
+			m := meta(id)
+			m.Idempotent = false
+			do(gate, m)
+		}
+		for i := range 200 {
+			unsafe(fmt.Sprint("a", i))
+		}
+		unsafe("rejected")
+		unsafe("rejected")
+		gate.Close()
+		Expect(strings.Count(logs.String(), `"request":"rejected"`)).To(Equal(2))
+	})
+
+	It("limits the lines about discarded responses, and counts all", func() {
+		const surplus = 100
+		address, t := listen(func(conn net.Conn) {
+			br := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				text := "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
+				if r.URL.Path != "/healthz" {
+					text = rejectionOf("z") + responseTo(r.Header.Get("Request-Id"))
+				}
+				_, _ = io.WriteString(conn, text)
+			}
+		}), table()
+		var logs bytes.Buffer
+		gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithLogger(log.NewJSONLogger(log.NewSyncWriter(&logs))))
+		Expect(gate.Heartbeat(heartbeat(address, "i-1", "ready", 1000, 1))).To(BeTrue())
+		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		began := time.Now()
+		for i := range surplus {
+			do(gate, meta(fmt.Sprint("a", i)))
+		}
+		took := time.Since(began)
+		Expect(gate.Discarded()).To(Equal(uint64(surplus)))
+		m := meta("b")
+		m.Idempotent = false
+		do(gate, m)
+		gate.Close()
+		Expect(strings.Count(logs.String(), `"event":"response-discarded"`)).To(BeNumerically("<=", 21+20*took.Seconds()+1))
+		Expect(logs.String()).To(MatchRegexp(`"event":"run",.*"request":"b"`))
+	})
 })
+
+// rejectionOf returns the response of an upstream that has not run a request.
+func rejectionOf(id string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+}
+
+// responseTo returns the response of an upstream that has run a request.
+func responseTo(id string) string {
+	return "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+}
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -119,6 +119,7 @@
 func (g *Gate) replaceUpstream(now time.Time, h platform.Heartbeat) {
 	if g.pool != nil {
 		g.pool.Close()
+		g.openedEarlier += g.pool.Opened()
 	}
 	g.saturation = g.inheritedSaturation(h.Service())
 	g.upstream = upstream{
@@ -128,7 +129,7 @@
 	// A cold upstream gets no lower limit: it reports its slowdown, and runs as
 	// many calls at once as a warm one.
 	g.admission = admission.NewGate(h.Slots(), admission.WithMaxUtilization(1))
-	g.pool = http1.NewPool(g.address, g.dial, g.clock, defaultIdleTimeout)
+	g.pool = http1.NewPool(g.address, g.dial, g.clock, defaultIdleTimeout, http1.WithObserver(g.surplusObserver(h.Instance())))
 	g.health = health{}
 	g.warmup.limiter.Reset(h.Started())
 	g.updateSlotShare()
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -40,20 +40,22 @@
 			ready = 1
 		}
 		for name, value := range map[string]float64{
-			"ready":                     ready,
-			"configuration_revision":    float64(s.Revision()),
-			"evacuated_failure_domains": float64(len(s.knownEvacuation().Domains())),
-			"nodes":                     float64(len(peers)),
-			"nodes_silent":              float64(silent),
-			"store_calls":               float64(s.store.Calls()),
-			"requests_in_progress":      float64(s.callerServer.ActiveRequests()),
-			"upstream_running":          float64(load.Running),
-			"upstream_waiting":          float64(load.Waiting),
-			"upstream_limit":            float64(load.Limit),
-			"upstream_slowdown":         float64(load.Slowdown),
-			"upstream_probes":           float64(s.gate.Probes()),
-			"upstream_cold":             cold,
-			"upstream_nested_excess":    float64(load.NestedExcess),
+			"ready":                        ready,
+			"configuration_revision":       float64(s.Revision()),
+			"evacuated_failure_domains":    float64(len(s.knownEvacuation().Domains())),
+			"nodes":                        float64(len(peers)),
+			"nodes_silent":                 float64(silent),
+			"store_calls":                  float64(s.store.Calls()),
+			"requests_in_progress":         float64(s.callerServer.ActiveRequests()),
+			"upstream_running":             float64(load.Running),
+			"upstream_waiting":             float64(load.Waiting),
+			"upstream_limit":               float64(load.Limit),
+			"upstream_slowdown":            float64(load.Slowdown),
+			"upstream_probes":              float64(s.gate.Probes()),
+			"upstream_responses_discarded": float64(s.gate.Discarded()),
+			"upstream_connections_opened":  float64(s.gate.ConnectionsOpened()),
+			"upstream_cold":                cold,
+			"upstream_nested_excess":       float64(load.NestedExcess),
 		} {
 			s.gauge(name, value)
 		}
