ingress: test that a request returns to the only upstream after a rejection

An upstream may get the same request more than once: when it rejects one and no other upstream is left, the entry node sends it there again. No spec showed that. The new one has a single upstream that rejects a request that is not idempotent once; it gets the same ID a second time. It passes, and no code changes.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -232,6 +232,28 @@
 		}
 	})
 
+	It("returns to the only upstream after a rejection by it", func() {
+		// Guards against the assumption that an upstream gets a request only once.
+		rejected := false
+		sender, address := start(setup{attempts: 2, hosts: 1, budget: largeBudget}, func(string, hop.Meta) *egress.Answer {
+			if rejected {
+				return connectionLost()
+			}
+			rejected = true
+			answer := egress.Refusal(call.NotRun, call.ReasonRejected)
+			answer.Meta.ReachedUpstream = true
+			return answer
+		})
+		Expect(get(address, "a").StatusCode).To(Equal(http.StatusBadGateway))
+		attempts := sender.attempts()
+		Expect(attempts).To(HaveLen(2))
+		for _, a := range attempts {
+			Expect(a.host).To(Equal("h0"))
+			Expect(a.meta.ID).To(Equal("a"))
+			Expect(a.meta.Idempotent).To(BeFalse())
+		}
+	})
+
 	It("does not get a 503 when an earlier attempt may have run", func() {
 		first := true
 		_, address := start(setup{idempotent: true, attempts: 2, hosts: 2, budget: largeBudget}, func(string, hop.Meta) *egress.Answer {
