--- a/egress/repeat_test.go
+++ b/egress/repeat_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 // where the next one is expected. It runs or rejects calls and health checks at random.
 type repeater struct {
 	address string
+	// maxResponses is the number of responses after which a connection is closed, 0 for
+	// no bound.
+	maxResponses int
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -69,14 +73,28 @@
 			_, _ = io.WriteString(conn, text)
 		}
 		text := u.respond(r)
+		last := len(earlier)+1 == u.maxResponses
+		if last {
+			text = strings.Replace(text, "\r\n", "\r\nConnection: close\r\n", 1)
+		}
 		if u.chance(10) {
 			text = "HTTP/1.1 102 Processing\r\n\r\n" + text
 		}
 		_, _ = io.WriteString(conn, text)
+		if last {
+			return
+		}
 		earlier = append(earlier, text)
 	}
 }
 
+// runsOf returns how often the request with the ID ran.
+func (u *repeater) runsOf(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[id]
+}
+
 // respond runs or rejects a request and returns the response.
 func (u *repeater) respond(r *http.Request) string {
 	reject := u.chance(4)
