http1: carry each request ID once on a connection

Callers were told 503, not run, for a request that is not idempotent and that ran. A rejected request may return to the same gate when no other upstream is left, and the pool took the connection that was released last: the one that carried the rejection. A late copy of the rejection bears the ID of the request, so the gate took it for the response to the second send. The upstream ran it; the response was discarded, or found unread, later.

The class: a response was matched to a request, not to one send of it, on a connection that carries several sends. The ID of the protocol cannot tell two sends apart, so no connection carries an ID twice now: it keeps the hashes of the IDs that it has carried, a request takes an idle connection that has not carried its ID, or a new one, and a connection is closed after 1,024 requests. That needs no bound on how late or how often a copy comes, nor knowledge of who sends the request again and why.

The pool's spec of late copies failed without it, too.

--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -296,10 +298,22 @@
 }
 
 func get(p *http1.Pool, id string) (string, error) {
-	response, err := p.Do(context.Background(), &http1.OutgoingRequest{
+	return exchange(p, &http1.OutgoingRequest{
 		Method: http.MethodGet, Target: "/" + id, Host: "x", Header: http.Header{},
 		Accept: func(r *http1.Response) bool { return r.Header.Get("Id") == id },
 	})
+}
+
+// send sends the request with an ID, which may have been sent before.
+func send(p *http1.Pool, id string) (string, error) {
+	return exchange(p, &http1.OutgoingRequest{
+		Method: http.MethodGet, Target: "/" + id, Host: "x", Header: http.Header{}, ID: id,
+		Accept: func(r *http1.Response) bool { return r.Header.Get("Id") == id },
+	})
+}
+
+func exchange(p *http1.Pool, out *http1.OutgoingRequest) (string, error) {
+	response, err := p.Do(context.Background(), out)
 	if err != nil {
 		return "", err
 	}
@@ -322,6 +336,35 @@
 		Expect(p.Opened()).To(Equal(uint64(1)))
 	})
 
+	It("takes no late copy of a response for the response to a later send of its request", func() {
+		const copied = "HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 4\r\n\r\ncopy"
+		p := newPool(scripts(
+			[]string{
+				"HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 4\r\n\r\nbusy",
+				copied + copied + "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nB",
+				copied,
+			},
+			[]string{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nran"},
+		))
+		Expect(send(p, "a")).To(Equal("busy"))
+		Expect(send(p, "b")).To(Equal("B"))
+		Expect(send(p, "a")).To(Equal("ran"))
+		Expect(p.Opened()).To(Equal(uint64(2)))
+	})
+
+	It("reuses a connection for up to 1,024 requests with other IDs", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", strings.TrimPrefix(r.URL.Path, "/"))
+		}))
+		DeferCleanup(server.Close)
+		p := newPool(server.Listener.Addr().String())
+		for i := range 2049 {
+			_, err := send(p, strconv.Itoa(i))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(p.Opened()).To(Equal(uint64(3)))
+	})
+
 	It("does not reuse a connection with extra bytes after a response", func() {
 		extra := "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nAHTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nX"
 		p := newPool(scripts([]string{extra, extra}, []string{"nothing!"}))
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -29,8 +30,6 @@
 
 // OutgoingRequest is a request that a Pool sends.
 type OutgoingRequest struct {
-	// ID identifies the request to the pool's observer.
-	ID     string
 	Method string
 	Target string
 	Host   string
@@ -39,6 +38,10 @@
 	// Rest after it.
 	Body []byte
 	Rest io.Reader
+	// ID is the same whenever the request is sent again, "" if nothing identifies it. No
+	// connection carries two requests with the same ID: a late copy of the response to the
+	// first could not be told from the response to the second.
+	ID string
 	// Accept reports whether a response belongs to this request; others are
 	// discarded. A nil Accept accepts every response.
 	Accept func(*Response) bool
@@ -120,6 +123,7 @@
 	limited   *limitedReader
 	br        *bufio.Reader
 	idleSince time.Time
+	carried   carriedIDs
 	// stopCancel keeps the end of the request's context from closing the
 	// connection, and returns false if it already has.
 	stopCancel func() bool
@@ -130,20 +134,14 @@
 func (c *clientConn) close() { _ = c.conn.Close() }
 
 // takeIdle removes the connection that was released last from the idle ones and
-// returns it, nil if none is left. Expired ones and those that are not reusable are
-// closed.
-func (p *Pool) takeIdle() *clientConn {
+// returns it, nil if none is left that has not carried a request with the ID. Expired
+// ones and those that are not reusable are closed.
+func (p *Pool) takeIdle(id string) *clientConn {
 	for {
-		p.mu.Lock()
-		last := len(p.idle) - 1
-		if last < 0 {
-			p.mu.Unlock()
+		c, expired := p.removeIdle(id)
+		if c == nil {
 			return nil
 		}
-		c := p.idle[last]
-		p.idle = p.idle[:last]
-		expired := p.clock.Now().Sub(c.idleSince) > p.idleTimeout
-		p.mu.Unlock()
 		open, unread := reusable(c.conn)
 		unread = unread || c.br.Buffered() > 0
 		switch {
@@ -157,6 +155,20 @@
 	}
 }
 
+// removeIdle removes from the idle connections the one that was released last among
+// those that have not carried a request with the ID, and reports whether it has expired.
+func (p *Pool) removeIdle(id string) (c *clientConn, expired bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle) {
+		if !c.carried.contains(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, p.clock.Now().Sub(c.idleSince) > p.idleTimeout
+		}
+	}
+	return nil, false
+}
+
 // putIdle adds a connection to the idle ones, and closes the oldest if it has
 // expired.
 func (p *Pool) putIdle(c *clientConn) {
@@ -199,13 +211,14 @@
 	if err := ctx.Err(); err != nil {
 		return nil, newError("send", KindNotSent, err)
 	}
-	c := p.takeIdle()
+	c := p.takeIdle(out.ID)
 	if c == nil {
 		var err error
 		if c, err = p.connect(ctx); err != nil {
 			return nil, err
 		}
 	}
+	c.carried.add(out.ID)
 	c.stopCancel = context.AfterFunc(ctx, c.close)
 	response, err := c.exchange(out)
 	if err != nil {
@@ -310,7 +323,7 @@
 	default:
 		sendErr = errEarlyResponse
 	}
-	if cancelled || sendErr != nil || !r.keepAlive || !r.Body.Complete() {
+	if cancelled || sendErr != nil || !r.keepAlive || !r.Body.Complete() || c.carried.full() {
 		c.close()
 		return
 	}
