upstream: take only the first response on a connection for a rejection

A backend server of a service with reject-statuses may write a surplus response: a call that is not idempotent was reported as not run, and ran.

Responses have no ID here, so net/http pairs them with calls by their order on the connection. It closes a connection that has unread bytes while it is idle, but a copy that arrives after the next call was written is the response to that call. If it is the copy of a rejection, the outcome is not-run. A copy of another response does the same one call later, as a true rejection is received behind it. Thus it is not enough to close a connection after a rejection.

Each call to a service with reject-statuses now has a connection of its own. If a release note lists the first status while connections are open, a rejection on one that carried a call before has the outcome unknown. Services without reject-statuses reuse connections as before: no response of theirs means not-run.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -93,24 +93,39 @@
 	return c.written
 }
 
-// roundTrip sends one call. sent reports whether any byte of it was written, and
-// so whether the backend server may have run it.
-func (c *client) roundTrip(ctx context.Context, meta hop.Meta, request *http.Request) (response *http.Response, sent bool, err error) {
+// exchange is what became of a call.
+type exchange struct {
+	response *http.Response
+	// sent means that a byte of the call was written, so that the backend server may
+	// have run it.
+	sent bool
+	// reused means that the connection carried another call before, to which the
+	// response may belong.
+	reused bool
+}
+
+// roundTrip sends one call, and closes its connection after the response unless the
+// connection is to be reused.
+func (c *client) roundTrip(ctx context.Context, meta hop.Meta, request *http.Request, reuse bool) (exchange, error) {
 	var conn *countingConn
 	var before int64
+	var e exchange
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		e.reused = info.Reused
 		conn, _ = info.Conn.(*countingConn)
 		if conn != nil {
 			before = conn.bytesWritten()
 		}
 	}}
 	outgoing := c.outgoing(httptrace.WithClientTrace(ctx, trace), meta, request)
-	response, err = c.transport.RoundTrip(outgoing)
-	if err == nil {
-		return response, true, nil
+	outgoing.Close = !reuse
+	response, err := c.transport.RoundTrip(outgoing) //nolint:bodyclose // closed when the answer is written
+	if err != nil {
+		e.sent = conn != nil && conn.stopWrites() > before
+		return e, err
 	}
-	sent = conn != nil && conn.stopWrites() > before
-	return nil, sent, err
+	e.response, e.sent = response, true
+	return e, nil
 }
 
 // outgoing returns the request to the backend server.
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -255,18 +256,25 @@
 		g.quarantine.End(meta.Fingerprint, answered)
 		pass.End(g.clock.Now(), answered)
 	}
-	response, sent, err := s.client.roundTrip(ctx, meta, request)
-	if sent {
+	rejectStatuses := g.rejectStatuses(meta)
+	// Nothing tells the rejection of a call from that of an earlier one on its connection.
+	e, err := s.client.roundTrip(ctx, meta, request, len(rejectStatuses) == 0)
+	if e.sent {
 		g.counter.Ran(meta.Day, meta.Service)
 	}
 	if err != nil {
-		return g.handleSendError(ctx, meta, sent, err, finish)
+		return g.handleSendError(ctx, meta, e.sent, err, finish)
 	}
 	g.lastAnswerUnixNano.Store(g.clock.Now().UnixNano())
-	if g.isRejection(meta, response) {
+	response := e.response
+	if slices.Contains(rejectStatuses, response.StatusCode) {
 		_ = response.Body.Close()
 		finish(false)
-		answer := hop.Refusal(meta, call.Refuse(call.NotRun, call.ReasonRejected))
+		refusal := call.Refuse(call.NotRun, call.ReasonRejected)
+		if e.reused {
+			refusal = call.Refuse(call.Unknown, call.ReasonCut)
+		}
+		answer := hop.Refusal(meta, refusal)
 		answer.Meta.ReachedUpstream = true
 		return answer
 	}
@@ -298,21 +306,16 @@
 	return answer
 }
 
-// isRejection reports whether the release notes list the response's status as one
-// that means that the upstream did not run the call.
-func (g *Gate) isRejection(meta hop.Meta, response *http.Response) bool {
+// rejectStatuses returns the statuses that mean that the upstream did not run the call,
+// according to the release notes.
+func (g *Gate) rejectStatuses(meta hop.Meta) []int {
 	state := g.configuration.State()
 	if state == nil {
-		return false
+		return nil
 	}
 	service, ok := state.Service(meta.Service)
 	if !ok {
-		return false
-	}
-	for _, status := range service.Service.RejectStatuses {
-		if status == response.StatusCode {
-			return true
-		}
+		return nil
 	}
-	return false
+	return service.Service.RejectStatuses
 }
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -96,7 +96,12 @@
 
 func newGate(address string) *upstream.Gate {
 	GinkgoHelper()
-	gate := upstream.NewGate(clock.System{}, inForce(releaseNote), totals.NewCounter("h", "i"), "i")
+	return newConfiguredGate(inForce(releaseNote), address)
+}
+
+func newConfiguredGate(configuration *note.InForce, address string) *upstream.Gate {
+	GinkgoHelper()
+	gate := upstream.NewGate(clock.System{}, configuration, totals.NewCounter("h", "i"), "i")
 	Expect(gate.Announce(upstream.Announcement{
 		Upstream: "kasir-1", Service: "kasir", Address: address, Slots: 4, State: upstream.StateReady,
 	})).To(Succeed())
@@ -155,6 +160,68 @@
 		Expect(a.Meta.Reason).To(Equal(call.ReasonRejected))
 	})
 
+	// Guards against calls that are reported as not run, and run, after a late copy of an earlier
+	// rejection, or after a copy of another response, behind which a true rejection is received.
+	DescribeTable("is reported for no call that ran, whatever surplus responses the server writes", func(calls string) {
+		const rejection, success = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npaid"
+		var mu sync.Mutex
+		unsent, previous := map[net.Conn]string{}, map[net.Conn]string{}
+		server := newRawServer(func(conn net.Conn, r *http.Request) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			response := success
+			step := calls[len(r.Header.Get(upstream.CallIDHeader))-1]
+			if step == 'r' {
+				response = rejection
+			}
+			text := unsent[conn] + response
+			if unsent[conn] == "" && previous[conn] != "" {
+				// A copy of the last response takes the place of this one, which follows later.
+				text, unsent[conn] = previous[conn], response
+			}
+			previous[conn] = response
+			_, err := io.WriteString(conn, text)
+			return err == nil
+		})
+		gate := newGate(server.listener.Addr().String())
+		for i, step := range calls {
+			m := meta("")
+			m.ID = strings.Repeat("x", i+1)
+			a := gate.Do(context.Background(), m, post())
+			if step == 'r' {
+				Expect(a.Meta.Outcome).To(Equal(call.NotRun), "call %d", i)
+				continue
+			}
+			Expect(a.Meta.Outcome).To(Equal(call.Answered), "call %d", i)
+			Expect(read(a)).To(Equal("paid"))
+		}
+	},
+		Entry("a rejection twice", "ra"),
+		Entry("a success twice, and then a rejection", "ara"),
+	)
+
+	It("is not reported for a rejection on a connection from before the release note listed its status", func() {
+		const rejection = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+		server := newRawServer(func(conn net.Conn, _ *http.Request) bool {
+			_, err := io.WriteString(conn, rejection)
+			return err == nil
+		})
+		configuration := inForce(strings.Replace(releaseNote, "reject-statuses = [503]", "", 1))
+		gate := newConfiguredGate(configuration, server.listener.Addr().String())
+		first := gate.Do(context.Background(), meta(""), post())
+		Expect(first.Meta.Outcome).To(Equal(call.Answered))
+		Expect(read(first)).To(BeEmpty())
+		n, err := note.Parse("n.toml", []byte("id = \"second\"\n[service.kasir]\nslots = 4\nreject-statuses = [503]\n"))
+		Expect(err).NotTo(HaveOccurred())
+		state, err := configuration.State().Apply(n, note.ApplyOptions{Now: time.Now(), Base: configuration.State().Revision})
+		Expect(err).NotTo(HaveOccurred())
+		configuration.Adopt(state)
+		second := gate.Do(context.Background(), meta(""), post())
+		Expect(second.Meta.Outcome).To(Equal(call.Unknown))
+		Expect(second.Meta.ReachedUpstream).To(BeTrue())
+		Expect(gate.Do(context.Background(), meta(""), post()).Meta.Outcome).To(Equal(call.NotRun))
+	})
+
 	// Guards against the retry by net/http of a request with an Idempotency-Key
 	// header and no body, after its reused connection was closed.
 	It("is not reported for an empty body, nor the call repeated, when the server closes a reused connection", func() {
