soak, standin: repeat responses late, and reject requests

Callers were told that a request had not run, which ran; no soak could show that.

Cause: the upstreams of a soak repeated a response only without an ID, and closed the connection after it. They rejected single requests only.

Change: a Backend rejects a share of the calls, and writes a share of its responses, also rejections and those to health checks, once or twice more before a later response on the same connection. Mixed has phases of both, from a random stream of their own, so that the other events of a seed stay what they are; seeds with planned operations only have none. The scenario repeated-rejections has more phases, more callers, and four of five requests that are not idempotent. No check is changed; the phases excuse no failed request.

--- a/soak/apply.go
+++ b/soak/apply.go
@@ -15,7 +15,7 @@
 // apply runs one event and returns when it has ended.
 func (f *fleet) apply(ctx context.Context, e event) {
 	n := f.nodes[e.node]
-	if !e.planned() {
+	if e.failsRequests() {
 		f.recordFault(n, e)
 		defer f.recordFault(n, e)
 	}
@@ -43,6 +43,10 @@
 		s.backend.InjectFaults(standin.FaultDisconnect, standin.FaultShed, standin.FaultError, standin.FaultTruncate, standin.FaultMalformed, standin.FaultUnstamped,
 			standin.FaultTruncateHead, standin.FaultLongTrailer, standin.FaultLongError, standin.FaultRepeatRejection,
 			standin.FaultEndlessHead, standin.FaultEndlessInterim, standin.FaultEndlessExtension)
+	case upstreamRejects:
+		n.setRejections(e.rejectShare, e.repeatShare)
+		sleep(ctx, e.duration)
+		n.setRejections(0, 0)
 	case upstreamReplaced:
 		f.replaceUpstream(ctx, n, e.duration)
 	case storeDropped:
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -43,12 +43,16 @@
 // runCaller sends requests to one node, one at a time over one persistent
 // connection, until ctx ends.
 func (f *fleet) runCaller(ctx context.Context, n *node, callerIndex int) {
-	rng := rand.New(rand.NewPCG(f.options.Seed, uint64(n.index*callersPerNode+callerIndex)))
+	rng := rand.New(rand.NewPCG(f.options.Seed, uint64(n.index*f.options.callersPerNode()+callerIndex)))
 	c := standin.NewCaller()
 	defer c.Close()
 	for i := 0; ctx.Err() == nil; i++ {
 		r := record{id: fmt.Sprintf("r-%d-%d-%d", n.index, callerIndex, i), node: n.index}
-		switch rng.IntN(5) {
+		kind := rng.IntN(5)
+		if f.options.Scenario == RepeatedRejections {
+			kind = min(kind, 1)
+		}
+		switch kind {
 		case 0:
 			r.version = f.drawVersion(rng)
 			r.path = fmt.Sprintf("/only-%d/1", r.version)
--- a/soak/export_test.go
+++ b/soak/export_test.go
@@ -15,6 +15,19 @@
 	return events
 }
 
+// DrawMixed returns the events of a seed of Mixed as text, those in which upstreams
+// reject requests apart.
+func DrawMixed(seed uint64, nodes int, duration time.Duration) (others, rejections []string) {
+	for _, e := range drawMixed(seed, nodes, duration) {
+		if e.kind == upstreamRejects {
+			rejections = append(rejections, e.String())
+		} else {
+			others = append(others, e.String())
+		}
+	}
+	return others, rejections
+}
+
 // RequestRecord is one request as the caller observed it, in a fleet of one node.
 type RequestRecord struct {
 	ID, Path   string
--- a/soak/node.go
+++ b/soak/node.go
@@ -55,10 +55,12 @@
 	// servers holds the current upstream last.
 	servers []*server
 	// state is the state that the current upstream's heartbeats report.
-	state       string
-	process     *exec.Cmd
-	exited      chan struct{}
-	incarnation int
+	state string
+	// rejectShare and repeatShare are those of the current upstream.
+	rejectShare, repeatShare float64
+	process                  *exec.Cmd
+	exited                   chan struct{}
+	incarnation              int
 	// stopping reports whether an event has sent the process SIGTERM or SIGKILL.
 	stopping bool
 	// recordViolation adds a violation to the fleet's report.
@@ -156,6 +158,8 @@
 		return nil, &Error{op: "upstream", kind: KindSetup, err: err}
 	}
 	backend.SetServiceTime(serviceTime)
+	backend.SetRejectShare(n.rejectShare)
+	backend.SetRepeatShare(n.repeatShare)
 	if n.service != n.calledService {
 		backend.SetNestedCalls(nestedCallsPerRun, n.callers)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -34,6 +34,7 @@
 	storeCompacts          eventKind = "store-compacts"
 	storeEndsLeases        eventKind = "store-ends-leases"
 	publishConfiguration   eventKind = "publish"
+	upstreamRejects        eventKind = "upstream-rejects"
 )
 
 // weightedKinds are the kinds that events are drawn from. Stops, replacements
@@ -68,11 +69,17 @@
 	kind     eventKind
 	node     int
 	duration time.Duration
+	// rejectShare and repeatShare are those of the upstream during upstreamRejects.
+	rejectShare, repeatShare float64
 }
 
 // String describes the event.
 func (e event) String() string {
-	return fmt.Sprintf("%s %s node %d for %s", e.offset.Round(time.Millisecond), e.kind, e.node, e.duration.Round(time.Millisecond))
+	text := fmt.Sprintf("%s %s node %d for %s", e.offset.Round(time.Millisecond), e.kind, e.node, e.duration.Round(time.Millisecond))
+	if e.kind == upstreamRejects {
+		text += fmt.Sprintf(", %.2f, repeats %.2f", e.rejectShare, e.repeatShare)
+	}
+	return text
 }
 
 // planned reports whether the event is a planned operation, which must not fail
@@ -81,6 +88,10 @@
 	return e.kind == stopProcess || e.kind == reloadSettings || e.kind == publishConfiguration || e.kind == upstreamReplaced
 }
 
+// failsRequests reports whether the event may break the connections of callers or delay
+// their answers beyond the timeout of the route.
+func (e event) failsRequests() bool { return !e.planned() && e.kind != upstreamRejects }
+
 // drawEvents returns the events of a seed in the order of their offsets. One seed in
 // four has planned operations only.
 func drawEvents(seed uint64, nodes int, duration time.Duration) []event {
--- a/soak/run.go
+++ b/soak/run.go
@@ -126,14 +126,17 @@
 	defer stopCalling()
 	var callers sync.WaitGroup
 	for _, n := range f.nodes {
-		for i := range callersPerNode {
+		for i := range f.options.callersPerNode() {
 			callers.Go(func() { f.runCaller(callerCtx, n, i) })
 		}
 	}
-	draw := drawEvents
-	if f.options.Scenario == KillStorm {
+	draw := drawMixed
+	switch f.options.Scenario {
+	case KillStorm:
 		f.setUpstreamLosses(stormLossShare)
 		draw = drawKills
+	case RepeatedRejections:
+		draw = drawRepeatedRejections
 	}
 	events := draw(f.options.Seed, f.options.Nodes, f.options.Duration)
 	f.runEvents(ctx, events)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,20 @@
 		Expect(soak.DrawEvents(7, 5, 12*time.Second)).To(Equal(soak.DrawEvents(7, 5, 12*time.Second)))
 		Expect(soak.DrawEvents(7, 5, 12*time.Second)).NotTo(Equal(soak.DrawEvents(8, 5, 12*time.Second)))
 	})
+
+	It("stay the same beside rejections, which are determined by the seed as well", func() {
+		rejecting := 0
+		for seed := range uint64(40) {
+			others, rejections := soak.DrawMixed(seed, 5, 12*time.Second)
+			Expect(others).To(Equal(soak.DrawEvents(seed, 5, 12*time.Second)))
+			_, again := soak.DrawMixed(seed, 5, 12*time.Second)
+			Expect(again).To(Equal(rejections))
+			if len(rejections) > 0 {
+				rejecting++
+			}
+		}
+		Expect(rejecting).To(And(BeNumerically(">", 20), BeNumerically("<", 40)))
+	})
 })
 
 var _ = Describe("the checks", func() {
--- a/soak/storm.go
+++ b/soak/storm.go
@@ -12,6 +12,10 @@
 const (
 	// Mixed draws all kinds of events for a fleet with one service.
 	Mixed Scenario = "mixed"
+	// RepeatedRejections adds upstreams that reject requests and repeat responses to the
+	// events of Mixed, for many callers whose requests mostly are not idempotent. With few
+	// nodes, a request that all upstreams have rejected returns to one of them.
+	RepeatedRejections Scenario = "repeated-rejections"
 	// KillStorm kills nodes again and again, one or all at a time, while upstreams lose
 	// answers. Runs of one service call another one.
 	KillStorm Scenario = "kill-storm"
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -45,6 +45,7 @@
 	arrivals []Arrival
 	// lossShare is the share of runs that end with a closed connection.
 	lossShare                 float64
+	rejectShare, repeatShare  float64
 	nested                    nestedCalls
 	sequence                  uint64
 	state                     string
@@ -69,8 +70,8 @@
 		announcedAddress: listener.Addr().String(),
 		state:            "ready", slowdown: 100,
 	}
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
-	go func() { _ = b.server.Serve(listener) }()
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute, ConnState: connState}
+	go func() { _ = b.server.Serve(repeatListener{Listener: listener, backend: b}) }()
 	return b, nil
 }
 
@@ -315,11 +316,15 @@
 }
 
 // nextFault removes the first queued fault and returns it. If there is none, it returns
-// FaultDisconnect for the share of requests whose answers are lost, or else "".
+// FaultShed for the share of requests that are rejected, FaultDisconnect for the share
+// whose answers are lost, or else "".
 func (b *Backend) nextFault() Fault {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.faults) == 0 {
+		if b.rejectShare > 0 && rand.Float64() < b.rejectShare {
+			return FaultShed
+		}
 		if b.lossShare > 0 && rand.Float64() < b.lossShare {
 			return FaultDisconnect
 		}
