http1: limit the idle connections of a pool

Callers that repeat one ID could take all connections that an upstream allows, so that those of other callers are reset.

A pool keeps a settable number of idle connections and closes the oldest beyond it; a gate keeps as many as the upstream has slots, and one. With it, 3 stay open in the spec, whose limit is 3. For other callers no connection is closed earlier: no more calls than slots are in progress.

--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -80,6 +80,7 @@
 		if g.upstream.slots != h.Slots() {
 			g.upstream.slots = h.Slots()
 			g.admission.Resize(h.Slots())
+			g.pool.SetMaxIdle(maxIdle(h.Slots()))
 		}
 	default:
 		g.replaceUpstream(now, h)
@@ -130,11 +131,17 @@
 	// many calls at once as a warm one.
 	g.admission = admission.NewGate(h.Slots(), admission.WithMaxUtilization(1))
 	g.pool = http1.NewPool(g.address, g.dial, g.clock, defaultIdleTimeout, http1.WithObserver(g.surplusObserver(h.Instance())))
+	g.pool.SetMaxIdle(maxIdle(h.Slots()))
 	g.health = health{}
 	g.warmup.limiter.Reset(h.Started())
 	g.updateSlotShare()
 }
 
+// maxIdle returns how many idle connections to an upstream are kept: as many as it has
+// slots, and one for health checks. A caller that sends one ID again and again needs a new
+// connection each time, and would take all that the upstream allows.
+func maxIdle(slots int) int { return slots + 1 }
+
 // recordDeparture records that an incarnation is leaving; g.mu is held.
 func (g *Gate) recordDeparture(id incarnation) {
 	if len(g.departed) >= maxDeparted {
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -365,6 +366,31 @@
 		Expect(p.Opened()).To(Equal(uint64(3)))
 	})
 
+	It("keeps a limited number of connections open for requests that repeat one ID", func() {
+		// Guards against a caller that takes all connections that a server allows.
+		var open, most atomic.Int64
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Id", "a") }))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				most.Store(max(most.Load(), open.Add(1)))
+			case http.StateClosed:
+				open.Add(-1)
+			}
+		}
+		server.Start()
+		DeferCleanup(server.Close)
+		p := newPool(server.Listener.Addr().String())
+		p.SetMaxIdle(3)
+		for range 200 {
+			_, err := send(p, "a")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(p.Opened()).To(Equal(uint64(200)))
+		Eventually(open.Load).Should(Equal(int64(3)))
+		Expect(most.Load()).To(BeNumerically("<", 20))
+	})
+
 	It("does not reuse a connection with extra bytes after a response", func() {
 		extra := "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nAHTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nX"
 		p := newPool(scripts([]string{extra, extra}, []string{"nothing!"}))
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -66,10 +66,11 @@
 	// surplusReads holds a token for each connection whose unread bytes are being read.
 	surplusReads chan struct{}
 
-	mu     sync.Mutex
-	idle   []*clientConn
-	closed bool
-	opened uint64
+	mu      sync.Mutex
+	idle    []*clientConn
+	maxIdle int
+	closed  bool
+	opened  uint64
 }
 
 // PoolOption configures a Pool.
@@ -94,6 +95,13 @@
 	p.idleTimeout = idleTimeout
 }
 
+// SetMaxIdle sets how many idle connections are kept, 0 for any number.
+func (p *Pool) SetMaxIdle(maxIdle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = maxIdle
+}
+
 // Opened returns how many connections the pool has opened.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -170,7 +178,7 @@
 }
 
 // putIdle adds a connection to the idle ones, and closes the oldest if it has
-// expired.
+// expired or there are more than maxIdle.
 func (p *Pool) putIdle(c *clientConn) {
 	c.idleSince = p.clock.Now()
 	p.mu.Lock()
@@ -180,15 +188,15 @@
 		return
 	}
 	p.idle = append(p.idle, c)
-	var expired *clientConn
+	var dropped *clientConn
 	// Idle connections are in the order of their release.
-	if oldest := p.idle[0]; c.idleSince.Sub(oldest.idleSince) > p.idleTimeout {
-		expired = oldest
+	if oldest := p.idle[0]; c.idleSince.Sub(oldest.idleSince) > p.idleTimeout || (p.maxIdle > 0 && len(p.idle) > p.maxIdle) {
+		dropped = oldest
 		p.idle = p.idle[1:]
 	}
 	p.mu.Unlock()
-	if expired != nil {
-		expired.close()
+	if dropped != nil {
+		dropped.close()
 	}
 }
 
