egress: bound the ID of a discarded response in log lines

An upstream could write up to 64 KiB into each response-discarded line, 20 times a second. The ID is cut to 128 bytes.

--- a/egress/runlog.go
+++ b/egress/runlog.go
@@ -105,11 +105,16 @@
 		}
 		response := platform.ReadResponseHeaders(s.Status, s.Header)
 		_ = level.Info(g.logger).Log("event", "response-discarded", "request", waiting, "unread", s.Request == nil,
-			"response-to", response.ID(), "status", s.Status, "rejected", response.NotRun(), "stamped", response.Stamped(),
+			"response-to", truncated(response.ID()), "status", s.Status, "rejected", response.NotRun(), "stamped", response.Stamped(),
 			"upstream", instance, "connection", s.Connection, "exchange", s.Exchange, "omitted", omitted)
 	}
 }
 
+// maxLoggedID bounds an ID of an upstream's response in a log line, in bytes.
+const maxLoggedID = 128
+
+func truncated(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // Discarded returns the number of responses discarded so far because they belonged to no
 // request in progress.
 func (g *Gate) Discarded() uint64 {
