egress: believe a warm report only on a connection of its own

A cold upstream with a warmup rate got more requests in a second than it tolerates, if it repeated an earlier health response after it had turned cold.

Health responses have no ID, and share connections with calls and with earlier health checks. A copy of one that says warm was taken for the response to a check sent just now: the gate forgot the sends before and sent as many again.

A check whose report is due for the warmup, or that is the first of an upstream, now has a connection of its own, whose first response cannot be a copy. On other connections only a report that says cold counts; a copy of that one holds back calls until the next report is due. Services without a warmup rate open no further connections.

--- a/egress/crash.go
+++ b/egress/crash.go
@@ -24,7 +24,7 @@
 	g.brokenRuns = append(g.brokenRuns, brokenRun{fingerprint: fingerprint, at: now})
 	g.mu.Unlock()
 	if first && g.tomb.Alive() {
-		go g.probe()
+		go g.probe(false)
 	}
 }
 
--- a/egress/health.go
+++ b/egress/health.go
@@ -122,7 +122,7 @@
 			reportRequested = false
 		}
 		if present && (unconfirmed || inUse && !recentReport || reportDue) {
-			g.probe()
+			g.probe(bounds.Limited() && (unconfirmed || reportDue))
 		}
 	}
 }
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -235,9 +235,9 @@
 	g.health.recordOutcome(now, failed)
 }
 
-// probe requests the upstream's health path. The answer reports the slowdown of
-// the host and confirms a new upstream.
-func (g *Gate) probe() {
+// probe requests the upstream's health path, on a connection of its own if separate is
+// set. The answer reports the slowdown of the host and confirms a new upstream.
+func (g *Gate) probe(separate bool) {
 	g.mu.Lock()
 	pool, instance, service := g.pool, g.upstream.instance, g.upstream.service
 	g.probes++
@@ -255,7 +255,12 @@
 	//nolint:staticcheck // tomb asks for nil to give the context that ends with it.
 	ctx, cancel := context.WithTimeout(g.tomb.Context(nil), probeTimeout)
 	defer cancel()
-	response, err := pool.Do(ctx, &http1.OutgoingRequest{
+	probePool := pool
+	if separate {
+		probePool = http1.NewPool(g.address, g.dial, g.clock, 0)
+		defer probePool.Close()
+	}
+	response, err := probePool.Do(ctx, &http1.OutgoingRequest{
 		Method: http.MethodGet, Target: s.HealthPath, Host: g.address, Header: http.Header{}, Accept: acceptID(""),
 	})
 	if err != nil {
@@ -270,7 +275,7 @@
 		return
 	}
 	healthy := response.Status == http.StatusOK
-	g.recordProbeWarmup(instance, asked, answer, healthy)
+	g.recordProbeWarmup(instance, asked, answer, healthy, separate)
 	if healthy {
 		g.confirm(instance)
 	}
--- a/egress/warmup.go
+++ b/egress/warmup.go
@@ -213,9 +213,13 @@
 
 // recordProbeWarmup records what the answer to a probe sent at asked says. An upstream
 // that never reports a warmup of 0 is warm if it is healthy and reports none, unless it
-// said before that it is cold until later.
-func (g *Gate) recordProbeWarmup(instance string, asked time.Time, answer platform.ResponseHeaders, healthy bool) {
+// said before that it is cold until later. On a connection that is not separate, the
+// answer may be a copy of an earlier one, so only one that says cold counts.
+func (g *Gate) recordProbeWarmup(instance string, asked time.Time, answer platform.ResponseHeaders, healthy, separate bool) {
 	left, told := answer.Warmup()
+	if left == 0 && !separate {
+		return
+	}
 	now := g.clock.Now()
 	g.mu.Lock()
 	logChange := func() {}
