--- a/http1/doc.go
+++ b/http1/doc.go
@@ -6,7 +6,8 @@
 // This package does none of that. A Server reads the next request while earlier
 // ones are served, and sends the responses in order. A Pool sends each request
 // once and reports whether any of it may have been sent; it passes on a response
-// only if OutgoingRequest.Accept accepts it.
+// only if OutgoingRequest.Accept accepts it, and sends no two requests with the same
+// OutgoingRequest.ID on one connection. Surplus responses are told to an observer.
 //
 // A message is framed by one Content-Length or by chunks, never by both. Messages
 // with ambiguous framing are rejected.
