--- a/http1/cancel_test.go
+++ b/http1/cancel_test.go
@@ -48,7 +48,7 @@
 		long.Release()
 
 		close(release)
-		Expect(exchangeBody(p, request("/next"))).To(Equal("/next"))
+		Expect(exchange(p, request("/next"))).To(Equal("/next"))
 		Expect(p.Opened()).To(Equal(uint64(3)))
 	})
 
@@ -62,21 +62,11 @@
 		Expect(err).NotTo(HaveOccurred())
 		cancel()
 		response.Release()
-		Expect(exchangeBody(p, request)).To(BeEmpty())
+		Expect(exchange(p, request)).To(BeEmpty())
 		Expect(p.Opened()).To(Equal(uint64(2)))
 	})
 })
 
-func exchangeBody(p *http1.Pool, out *http1.OutgoingRequest) (string, error) {
-	response, err := p.Do(context.Background(), out)
-	if err != nil {
-		return "", err
-	}
-	defer response.Release()
-	body, err := io.ReadAll(response.Body)
-	return string(body), err
-}
-
 var _ = Describe("a server", func() {
 	It("sends one response to each request, also if its handler ends without one", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
