platform, egress: let no heartbeat of another writer hide a draining

Callers' requests reached an upstream more than 2 s after the node had acknowledged that it drains, and those that ran when it exited got no answer. Before, another writer had sent one heartbeat in its name, without version, zone and cold_left_ms, and with a high sequence.

The decoder accepted a heartbeat without version, zone, cold_left_ms or born, and a born in quotes. The gate kept the sequence, and acknowledged and ignored all those below it as late, whatever they said. It did the same with those of an incarnation that started earlier than the current one.

In the gate, one of the current incarnation that says draining takes effect whatever its sequence. Others with a lower sequence count as late only while a higher one is recent. One of an earlier incarnation than the current one is refused, as it has no effect and the current one may be another writer's.

The specs that sent heartbeats without version, zone or cold_left_ms send complete ones; nothing that they check has changed.

--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/hop"
@@ -42,10 +44,30 @@
 	return gate, backend
 }
 
+// advancedClock is the system's clock, moved forward by a duration.
+type advancedClock struct {
+	clock.System
+	shift *atomic.Int64
+}
+
+func (c advancedClock) Now() time.Time { return c.System.Now().Add(time.Duration(c.shift.Load())) }
+
+// newGateWithClock returns a gate like newGate, and a function that moves its clock forward.
+func newGateWithClock() (gate *egress.Gate, backend *standin.Backend, advance func(time.Duration)) {
+	GinkgoHelper()
+	backend = newBackend()
+	t := table()
+	var shift atomic.Int64
+	gate = egress.NewGate(backend.Address(), func() *route.Table { return t }, egress.WithClock(advancedClock{shift: &shift}))
+	DeferCleanup(gate.Close)
+	return gate, backend, func(d time.Duration) { shift.Add(int64(d)) }
+}
+
 func heartbeat(address, instance, state string, born, sequence int) platform.Heartbeat {
 	GinkgoHelper()
 	h, err := platform.DecodeHeartbeat(instance, fmt.Appendf(nil,
-		`{"addr":%q,"born":%d,"info":{"service":"stock","slots":2},"status":{"state":%q,"seq":%d}}`, address, born, state, sequence))
+		`{"addr":%q,"born":%d,"info":{"service":"stock","version":"v1","zone":"z1","slots":2},`+
+			`"status":{"state":%q,"seq":%d,"cold_left_ms":0}}`, address, born, state, sequence))
 	Expect(err).NotTo(HaveOccurred())
 	return h
 }
@@ -127,6 +149,48 @@
 		Eventually(phase(gate)).Should(Equal(fleet.Ready))
 	})
 
+	It("drains whatever sequence a heartbeat of another writer had", func() {
+		gate, backend := newGate()
+		ready(gate, backend)
+		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "ready", 1000, 1<<53))).To(BeTrue())
+		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "draining", 1000, 2))).To(BeTrue())
+		Expect(phase(gate)()).To(Equal(fleet.Draining))
+		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "ready", 1000, 1<<53))).To(BeTrue())
+		Expect(phase(gate)()).To(Equal(fleet.Draining))
+		Expect(do(gate, meta("a")).Reason).To(Equal(call.ReasonLeaving))
+		Expect(backend.Runs()).To(BeEmpty())
+	})
+
+	It("follows the heartbeats of an upstream again after one of another writer", func() {
+		gate, backend, advance := newGateWithClock()
+		ready(gate, backend)
+		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "ready", 1000, 1<<53))).To(BeTrue())
+		slots := func() int {
+			var b fleet.Beacon
+			gate.FillBeacon(&b)
+			return b.Slots
+		}
+		gate.Heartbeat(coldHeartbeat(backend.Address(), 2, 0))
+		Expect(slots()).To(Equal(2), "the heartbeat may be late")
+		advance(time.Minute)
+		gate.Heartbeat(coldHeartbeat(backend.Address(), 3, 0))
+		Expect(slots()).To(Equal(2), "the heartbeat may still be late")
+		gate.Heartbeat(coldHeartbeat(backend.Address(), 4, 0))
+		Expect(slots()).To(Equal(20))
+	})
+
+	It("acknowledges no draining of an incarnation that it takes for an earlier one", func() {
+		gate, backend, advance := newGateWithClock()
+		ready(gate, backend)
+		// Another writer's.
+		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "ready", 2000, 1))).To(BeTrue())
+		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "draining", 1000, 2))).To(BeFalse())
+		Expect(phase(gate)()).NotTo(Equal(fleet.Draining))
+		advance(time.Minute)
+		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "draining", 1000, 3))).To(BeTrue())
+		Expect(phase(gate)()).To(Equal(fleet.Draining))
+	})
+
 	It("rejects a heartbeat with another address", func() {
 		gate, _ := newGate()
 		Expect(gate.Heartbeat(heartbeat("10.0.0.9:1", "i-1", "ready", 1000, 1))).To(BeFalse())
--- a/egress/resend_test.go
+++ b/egress/resend_test.go
@@ -244,7 +244,8 @@
 		gate := egress.NewGate(u.address, func() *route.Table { return t }, egress.WithClock(fastTimers{}))
 		DeferCleanup(gate.Close)
 		h, err := platform.DecodeHeartbeat("i-1", fmt.Appendf(nil,
-			`{"addr":%q,"born":1000,"info":{"service":"stock","slots":%d},"status":{"state":"ready","seq":1}}`, u.address, 2*workers))
+			`{"addr":%q,"born":1000,"info":{"service":"stock","version":"v1","zone":"z1","slots":%d},`+
+				`"status":{"state":"ready","seq":1,"cold_left_ms":0}}`, u.address, 2*workers))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(gate.Heartbeat(h)).To(BeTrue())
 		Eventually(phase(gate)).Should(Equal(fleet.Ready))
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -52,7 +52,9 @@
 }
 
 // Heartbeat updates the upstream from its heartbeat and reports whether to
-// acknowledge it.
+// acknowledge it: whether it took effect, or a later one of its incarnation did.
+// One that says draining takes effect whatever its sequence, since it is never taken
+// back.
 func (g *Gate) Heartbeat(h platform.Heartbeat) bool {
 	if h.Address() != g.address {
 		_ = level.Warn(g.logger).Log("event", "heartbeat-refused", "reason", "address", "upstream", h.Instance(), "address", h.Address())
@@ -64,15 +66,28 @@
 	id := incarnation{h.Instance(), h.Started().UnixNano()}
 	_, left := g.departed[id]
 	sameIncarnation := previous.instance == h.Instance() && previous.started.Equal(h.Started())
+	logWarmup := func() {}
 	switch {
 	case left && !h.Draining():
 		// The heartbeat was sent before the upstream left, and arrived late.
 		g.mu.Unlock()
 		return true
-	case sameIncarnation && h.Sequence() <= previous.sequence, !sameIncarnation && g.outdated(now, h):
+	case !sameIncarnation && g.outdated(now, h):
+		// If the current incarnation is another writer's, this one is the upstream's.
 		g.mu.Unlock()
-		return true
+		_ = level.Warn(g.logger).Log("event", "heartbeat-refused", "reason", "incarnation", "upstream", h.Instance(), "started", h.Started())
+		return false
+	case sameIncarnation && h.Sequence() <= previous.sequence:
+		// The highest sequence is another writer's if none follows it.
+		if now.Sub(previous.lastHeartbeat) >= heartbeatTTL {
+			g.upstream.sequence = h.Sequence()
+		}
+		if !h.Draining() {
+			g.mu.Unlock()
+			return true
+		}
 	case sameIncarnation:
+		logWarmup = g.recordHeartbeatWarmup(now, h)
 		g.upstream.lastHeartbeat = now
 		g.upstream.sequence = h.Sequence()
 		g.upstream.unreachable = false
@@ -84,8 +99,8 @@
 		}
 	default:
 		g.replaceUpstream(now, h)
+		logWarmup = g.recordHeartbeatWarmup(now, h)
 	}
-	logWarmup := g.recordHeartbeatWarmup(now, h)
 	if h.Draining() {
 		g.recordDeparture(id)
 	}
@@ -110,7 +125,7 @@
 // held.
 func (g *Gate) outdated(now time.Time, h platform.Heartbeat) bool {
 	current := g.upstream
-	if current.instance == "" || h.Started().IsZero() || h.Started().After(current.started) {
+	if current.instance == "" || h.Started().After(current.started) {
 		return false
 	}
 	return now.Sub(current.lastHeartbeat) < heartbeatTTL
--- a/egress/warmup_test.go
+++ b/egress/warmup_test.go
@@ -47,7 +47,8 @@
 func coldHeartbeat(address string, sequence int, left time.Duration) platform.Heartbeat {
 	GinkgoHelper()
 	h, err := platform.DecodeHeartbeat("i-1", fmt.Appendf(nil,
-		`{"addr":%q,"born":1000,"info":{"service":"stock","slots":20},"status":{"state":"ready","seq":%d,"cold_left_ms":%d}}`,
+		`{"addr":%q,"born":1000,"info":{"service":"stock","version":"v1","zone":"z1","slots":20},`+
+			`"status":{"state":"ready","seq":%d,"cold_left_ms":%d}}`,
 		address, sequence, left.Milliseconds()))
 	Expect(err).NotTo(HaveOccurred())
 	return h
