egress, sidecar: acknowledge no end of an upstream that has no effect

A node acknowledged every leaving. It had no effect on the incarnation that left if it gave no start time and named an upstream that was not the current one, or if a later incarnation of the same identity was the current one, which may be another writer's; heartbeats could then bring the upstream back, or leave it in use. One of a later incarnation than the current one left the current one in use at the same identity.

Leave reports whether the gate holds the incarnation for gone, and the node answers 400 if not. The leaving of a later incarnation takes the earlier ones out, too.

Shown in specs only: two of the gate failed before and pass now.

--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -191,6 +191,28 @@
 		Expect(phase(gate)()).To(Equal(fleet.Draining))
 	})
 
+	It("acknowledges no end that it can't record", func() {
+		gate, backend := newGate()
+		Expect(gate.Leave("i-1", time.Time{})).To(BeFalse(), "before the first heartbeat")
+		ready(gate, backend)
+		Expect(gate.Leave("i-2", time.Time{})).To(BeFalse(), "another upstream")
+		Expect(gate.Leave("i-2", time.UnixMilli(500))).To(BeTrue())
+		Expect(gate.Leave("i-1", time.UnixMilli(500))).To(BeFalse(), "an earlier incarnation")
+		Expect(phase(gate)()).To(Equal(fleet.Ready))
+		Expect(gate.Leave("i-1", time.UnixMilli(1000))).To(BeTrue())
+		Expect(phase(gate)()).To(Equal(fleet.Draining))
+	})
+
+	It("takes an upstream for gone when a later incarnation of it leaves", func() {
+		gate, backend := newGate()
+		ready(gate, backend)
+		Expect(gate.Leave("i-1", time.UnixMilli(2000))).To(BeTrue())
+		Expect(phase(gate)()).To(Equal(fleet.Draining))
+		gate.Heartbeat(heartbeat(backend.Address(), "i-1", "ready", 2000, 9))
+		Expect(phase(gate)()).To(Equal(fleet.Draining))
+		Expect(do(gate, meta("a")).Reason).To(Equal(call.ReasonLeaving))
+	})
+
 	It("rejects a heartbeat with another address", func() {
 		gate, _ := newGate()
 		Expect(gate.Heartbeat(heartbeat("10.0.0.9:1", "i-1", "ready", 1000, 1))).To(BeFalse())
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -157,28 +157,40 @@
 // connection each time, and would take all that the upstream allows.
 func maxIdle(slots int) int { return slots + 1 }
 
-// recordDeparture records that an incarnation is leaving; g.mu is held.
+// recordDeparture records that an incarnation is leaving, and so are those of the same
+// identity that started before; g.mu is held.
 func (g *Gate) recordDeparture(id incarnation) {
 	if len(g.departed) >= maxDeparted {
 		g.departed = map[incarnation]struct{}{}
 	}
 	g.departed[id] = struct{}{}
-	if g.upstream.instance == id.instance && g.upstream.started.UnixNano() == id.started {
+	if g.upstream.instance == id.instance && g.upstream.started.UnixNano() <= id.started {
 		g.upstream.leaving = true
 	}
 }
 
-// Leave records that an upstream announced its end. A zero start time means its
+// Leave records that an upstream announced its end, and reports whether to acknowledge
+// it: whether the gate now holds that incarnation for gone. A zero start time means its
 // current incarnation.
-func (g *Gate) Leave(instance string, started time.Time) {
+func (g *Gate) Leave(instance string, started time.Time) bool {
 	g.mu.Lock()
-	if started.IsZero() && g.upstream.instance == instance {
+	current := g.upstream.instance == instance
+	if started.IsZero() && current {
 		started = g.upstream.started
 	}
-	g.recordDeparture(incarnation{instance, started.UnixNano()})
+	// If the current incarnation of a later start is another writer's, this one is the
+	// upstream's.
+	recorded := !started.IsZero() && (!current || !started.Before(g.upstream.started))
+	if !started.IsZero() {
+		g.recordDeparture(incarnation{instance, started.UnixNano()})
+	}
 	g.mu.Unlock()
+	if !recorded {
+		return false
+	}
 	_ = level.Info(g.logger).Log("event", "upstream-leaves", "upstream", instance)
 	g.notifyPhase()
+	return true
 }
 
 // recordMisdirected marks an upstream unreachable because another one answers at
--- a/sidecar/handlers.go
+++ b/sidecar/handlers.go
@@ -105,7 +105,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.gate.Leave(r.PathValue("id"), started)
+	if !s.gate.Leave(r.PathValue("id"), started) {
+		_ = level.Warn(s.logger).Log("event", "leave-skipped", "upstream", r.PathValue("id"))
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	acknowledge(w)
 }
 
