egress: use no departed upstream after a restart by late heartbeats

A node acknowledged that its upstream left, and was killed.

The list of departed incarnations is lost with the process, and three heartbeats confirmed an upstream whatever its health check said; nothing took that back.

In the first 15 s of a process, heartbeats no longer confirm an upstream whose health check answered 503 with its own identity, or whose first check has not ended, and a confirmation by heartbeats is withdrawn on such an answer. Checks go on in that time until one passes. A rejection for lack of room, another status or identity, or no response decide nothing: three heartbeats confirm as before, as does a check that passes. Whether an upstream is confirmed is now derived from its checks and heartbeats. The result of a check counts for the incarnation that was asked only.

Not chosen: the departure in the store, which may be impaired when it is written or read while the rule binds too; and the other nodes, which may have been killed as well.

Cost: a sound upstream whose health check wrongly answers 503 is out of use for 15 s after a start of its node.

--- a/egress/gate.go
+++ b/egress/gate.go
@@ -86,6 +86,7 @@
 // Gate admits calls to one upstream; it is safe for concurrent use.
 type Gate struct {
 	clock       Clock
+	started     time.Time
 	logger      log.Logger
 	address     string
 	table       func() *route.Table
@@ -177,7 +178,8 @@
 	for _, option := range options {
 		option(g)
 	}
-	g.warmup.limiter = warmup.NewLimiter(g.clock.Now())
+	g.started = g.clock.Now()
+	g.warmup.limiter = warmup.NewLimiter(g.started)
 	g.tomb.Go(g.probeLoop)
 	return g
 }
@@ -234,7 +236,7 @@
 		return fleet.Absent
 	case g.upstream.leaving || g.stopping:
 		return fleet.Draining
-	case !g.upstream.confirmed:
+	case !g.confirmed():
 		return fleet.Absent
 	}
 	return fleet.Ready
--- a/egress/health.go
+++ b/egress/health.go
@@ -106,7 +106,7 @@
 		inUse := now.Sub(g.health.lastInUse) < inUseWindow
 		recentReport := now.Sub(g.health.reportedAt) < probeSkipAge
 		present := g.upstream.instance != "" && !g.upstream.leaving && !g.upstream.unreachable && !g.stopping
-		unconfirmed := !g.upstream.confirmed
+		unconfirmed := !g.confirmed() || g.upstream.check != checkPassed && g.mayBeLate(now)
 		warmupGap := g.warmup.probedAt.Add(minProbeGap).Sub(now)
 		bounds := g.warmupBounds(g.upstream.service)
 		reportDue := bounds.Limited() && (inUse || reportRequested) && g.warmup.limiter.ReportDue(now, bounds)
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -17,9 +17,6 @@
 const (
 	// dialTimeout bounds a connection to the upstream on the same host.
 	dialTimeout = 300 * time.Millisecond
-	// confirmingHeartbeats is the number of heartbeats of an incarnation that
-	// confirm it without a health check.
-	confirmingHeartbeats = 3
 	// heartbeatTTL is how long after a heartbeat its sender counts as alive: more
 	// than two regular heartbeat intervals, so that one heartbeat may be lost.
 	heartbeatTTL = 5 * time.Second
@@ -29,14 +26,12 @@
 
 // upstream is the state of the backend server on the node's host.
 type upstream struct {
-	instance string
-	service  string
-	slots    int
-	started  time.Time
-	sequence uint64
-	// confirmed is set once a health check, or enough heartbeats, showed that the
-	// upstream takes calls.
-	confirmed     bool
+	instance      string
+	service       string
+	slots         int
+	started       time.Time
+	sequence      uint64
+	check         checkResult
 	heartbeats    int
 	lastHeartbeat time.Time
 	leaving       bool
@@ -63,6 +58,7 @@
 	now := g.clock.Now()
 	g.mu.Lock()
 	previous := g.upstream
+	wasConfirmed := g.confirmed()
 	id := incarnation{h.Instance(), h.Started().UnixNano()}
 	_, left := g.departed[id]
 	sameIncarnation := previous.instance == h.Instance() && previous.started.Equal(h.Started())
@@ -104,11 +100,8 @@
 	if h.Draining() {
 		g.recordDeparture(id)
 	}
-	if g.upstream.heartbeats >= confirmingHeartbeats {
-		g.upstream.confirmed = true
-	}
 	changed := !sameIncarnation || g.upstream.leaving != previous.leaving || g.upstream.unreachable != previous.unreachable ||
-		g.upstream.confirmed != previous.confirmed
+		g.confirmed() != wasConfirmed
 	g.mu.Unlock()
 	logWarmup()
 	if changed {
@@ -292,6 +285,7 @@
 	})
 	if err != nil {
 		g.recordDialFailure(target{instance: instance}, err)
+		g.recordCheck(pool, checkUndecided)
 		return
 	}
 	defer response.Release()
@@ -299,25 +293,17 @@
 	answer := platform.ReadResponseHeaders(response.Status, response.Header)
 	g.recordReport(target{instance: instance, pool: pool}, answer, response.Header)
 	if answer.Instance() != instance {
+		g.recordCheck(pool, checkUndecided)
 		return
 	}
 	healthy := response.Status == http.StatusOK
 	g.recordProbeWarmup(instance, asked, answer, healthy, separate)
-	if healthy {
-		g.confirm(instance)
-	}
-}
-
-// confirm marks the upstream as confirmed by a health check.
-func (g *Gate) confirm(instance string) {
-	g.mu.Lock()
-	changed := g.upstream.instance == instance && !g.upstream.confirmed
-	if changed {
-		g.upstream.confirmed = true
-	}
-	g.mu.Unlock()
-	if changed {
-		_ = level.Info(g.logger).Log("event", "upstream-confirmed", "upstream", instance)
-		g.notifyPhase()
+	switch {
+	case healthy:
+		g.recordCheck(pool, checkPassed)
+	case response.Status == http.StatusServiceUnavailable && !answer.NotRun():
+		g.recordCheck(pool, checkFailed)
+	default:
+		g.recordCheck(pool, checkUndecided)
 	}
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -406,6 +406,31 @@
 		}
 	})
 
+	It("does not take a departed upstream into use after a restart, however many late heartbeats come", func() {
+		// Guards against calls to an upstream that left while an earlier process ran, also
+		// while the store does not answer.
+		f, a, b := twoHosts()
+		status, err := b.backend.Leave(context.Background(), b.conf.UpstreamAddress())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		left := time.Now()
+		f.store.SetDown(true)
+		b.sidecar.Kill()
+		b.start()
+		for sequence := uint64(2); sequence < 10; sequence++ {
+			_, err = b.backend.HeartbeatWithSequence(context.Background(), b.conf.UpstreamAddress(), "ready", sequence)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(100 * time.Millisecond)
+		}
+		Consistently(func() bool { return a.sidecar.UpstreamAvailable(b.name) }, time.Second).Should(BeFalse())
+		for range 40 {
+			Expect(f.send(a, http.MethodPost, "/pay/1").status).To(Equal(http.StatusOK))
+		}
+		for _, run := range b.backend.Runs() {
+			Expect(run.At).To(BeTemporally("<", left))
+		}
+	})
+
 	It("completes the requests in progress before it stops", func() {
 		f, a, b := twoHosts()
 		releaseA, releaseB := a.backend.Hold(), b.backend.Hold()
