quarantine: tell restarted nodes which requests are blocked

Callers saw: a request that has crashed three upstreams crashes them again after a rolling restart of the nodes, and other requests are lost with each crash.

Cause: a node holds its crash counts in memory and tells only what it counted itself. Nobody tells a restarted node; its first new count replaces the earlier one at the others; and a count that arrives late applies for a minute from then.

Change: beacons carry the blocks that a node knows, with the time that is left, in a field that earlier versions ignore; records carry the time too. Counts are kept by node and incarnation. Beacons leave out their oldest records and blocks if they exceed a datagram. The entry in the store has neither.

Blocks do not outlive a kill of all nodes; see docs/incidents/forgotten-crashes.md.

Tests: Merge has two more arguments, which the existing specs pass; their checks are unchanged.

go test ./quarantine ./fleet ./sidecar ./egress ./ingress passes, with -race too.

--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -80,6 +80,8 @@
 	EvacuationRevision uint64 `cbor:"30,keyasint,omitempty"`
 	// Evacuated holds the evacuated failure domains.
 	Evacuated []string `cbor:"31,keyasint,omitempty"`
+	// Blocks holds the requests that the node knows to be blocked, from whichever nodes.
+	Blocks []quarantine.Block `cbor:"32,keyasint,omitempty"`
 	// Interval is the time until the receiver is sent the next beacon.
 	Interval time.Duration `cbor:"14,keyasint,omitempty"`
 }
@@ -87,6 +89,18 @@
 // Encode returns the datagram of a beacon.
 func (b Beacon) Encode() ([]byte, error) { return codec.Marshal(b) }
 
+// EncodeWithin returns the datagram of a beacon without the oldest of the records and
+// blocks if it exceeds a number of bytes otherwise.
+func (b Beacon) EncodeWithin(bytes int) ([]byte, error) {
+	for {
+		data, err := b.Encode()
+		if err != nil || len(data) <= bytes || len(b.Blocklist)+len(b.Blocks) == 0 {
+			return data, err
+		}
+		b.Blocklist, b.Blocks = b.Blocklist[:len(b.Blocklist)*3/4], b.Blocks[:len(b.Blocks)*3/4]
+	}
+}
+
 // Decode reads the datagram of a beacon.
 func Decode(data []byte) (Beacon, error) {
 	var b Beacon
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -13,7 +13,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/codec"
 	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/quarantine"
 )
 
 func TestFleet(t *testing.T) {
@@ -36,6 +38,60 @@
 	}
 }
 
+var _ = Describe("a beacon after many crashes", func() {
+	It("fits into a datagram and keeps the latest records and blocks", func() {
+		list := quarantine.NewBlocklist()
+		for i := range 100 {
+			fingerprint := math.MaxUint64 - uint64(i)
+			for range 3 {
+				list.Crashed(start.Add(time.Duration(i)*time.Millisecond), []uint64{fingerprint})
+			}
+		}
+		last := uint64(math.MaxUint64 - 99)
+		name := strings.Repeat("n", 63)
+		now := start.Add(time.Second)
+		for _, evacuated := range [][]string{nil, {name, name, name, name, name, name}} {
+			b := beacon(name, 1<<62, 1<<62)
+			b.CallAddress, b.GossipAddress = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535", "[2001:db8:1111:2222:3333:4444:5555:7777]:65535"
+			b.FailureDomain, b.Service, b.Evacuated = name, name, evacuated
+			b.Blocklist, b.Blocks = list.Records(now), list.Blocks(now)
+			data, err := b.EncodeWithin(1400)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(data)).To(BeNumerically("<=", 1400))
+			decoded, err := fleet.Decode(data)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(decoded.Blocklist[0].Fingerprint).To(Equal(last))
+			Expect(decoded.Blocks[0].Fingerprint).To(Equal(last))
+		}
+	})
+
+	It("is read by a node of an earlier version, and its beacons by this one", func() {
+		type record struct {
+			Fingerprint uint64 `cbor:"1,keyasint"`
+			Crashes     uint32 `cbor:"2,keyasint,omitempty"`
+			Answered    bool   `cbor:"3,keyasint,omitempty"`
+		}
+		type earlierBeacon struct {
+			Host      string   `cbor:"1,keyasint"`
+			Blocklist []record `cbor:"18,keyasint,omitempty"`
+		}
+		b := beacon("a", 1, 1)
+		b.Blocklist = []quarantine.Record{{Fingerprint: 7, Crashes: 3, Remaining: 60000}}
+		b.Blocks = []quarantine.Block{{Fingerprint: 7, Remaining: 60000}}
+		data, err := b.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		var earlier earlierBeacon
+		Expect(codec.Unmarshal(data, &earlier)).To(Succeed())
+		Expect(earlier.Blocklist).To(Equal([]record{{Fingerprint: 7, Crashes: 3}}))
+		b.Blocklist, b.Blocks = []quarantine.Record{{Fingerprint: 7, Crashes: 3}}, nil
+		data, err = b.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		decoded, err := fleet.Decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded).To(Equal(b))
+	})
+})
+
 func hosts(peers []fleet.Peer) []string {
 	var names []string
 	for _, peer := range peers {
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -74,7 +74,8 @@
 	}
 	b.EvacuationRevision, b.Evacuated = s.knownEvacuation().Announcement()
 	s.gate.FillBeacon(&b)
-	b.Blocklist = s.blocklist.Records(s.clock.Now())
+	now := s.clock.Now()
+	b.Blocklist, b.Blocks = s.blocklist.Records(now), s.blocklist.Blocks(now)
 	return b
 }
 
@@ -215,7 +216,7 @@
 // one after interval, nil if the beacon cannot be encoded.
 func (s *Sidecar) encodeBeacon(b fleet.Beacon, interval time.Duration) []byte {
 	b.Interval = interval
-	data, err := b.Encode()
+	data, err := b.EncodeWithin(maxDatagramBytes)
 	if err != nil {
 		_ = level.Error(s.logger).Log("event", "beacon-failed", "err", err)
 	}
@@ -351,7 +352,10 @@
 	s.mergeAnnounced(b, b.Host)
 	change := s.view.Merge(s.clock.Now(), b)
 	s.ingress.UpdateLoad(&b)
-	s.blocklist.Merge(s.clock.Now(), b.Host, b.Blocklist)
+	if change.Later == nil {
+		// The sender raises its incarnation otherwise, and would be counted twice.
+		s.blocklist.Merge(s.clock.Now(), b.Host, b.Incarnation, b.Blocklist, b.Blocks)
+	}
 	if change.Changed || change.WasSilent {
 		s.logNode(b, change)
 	}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -492,6 +492,38 @@
 		Expect(f.runs("last")).To(BeEmpty())
 	})
 
+	It("blocks a request that has crashed three upstreams after its nodes were restarted in turn", func() {
+		f := newTestFleet()
+		f.publish(1)
+		entry := f.add()
+		for range 4 {
+			h := f.add()
+			h.sendHeartbeat("ready")
+			h.backend.InjectFaults(standin.FaultCrash)
+			f.waitUntilAvailable(entry, h)
+		}
+		for i := range 3 {
+			Expect(call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i)).status).To(Equal(http.StatusBadGateway))
+		}
+		blocks := func(h *host) func() bool {
+			return func() bool { return h.sidecar.Blocks("POST", "x", "/pay/deadly", "body") }
+		}
+		for _, h := range f.hosts {
+			Eventually(blocks(h)).Should(BeTrue())
+		}
+		for _, h := range f.hosts {
+			h.sidecar.Kill()
+			h.start()
+			Eventually(h.sidecar.Ready).Should(BeTrue())
+			Eventually(func() int { return h.sidecar.Nodes() }).Should(BeNumerically(">", 1))
+		}
+		for _, h := range f.hosts {
+			Eventually(blocks(h)).Should(BeTrue(), h.name)
+		}
+		Expect(call(entry, http.MethodPost, "/pay/deadly", "last").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(f.runs("last")).To(BeEmpty())
+	})
+
 	It("keeps its service's saturation estimate after all nodes were killed", func() {
 		f := newTestFleet()
 		f.publish(1)
