egress: count a run that breaks after its upstream was found to have ended

Callers' requests were lost with upstreams that a request crashed again, though it had crashed three before. Its log has the cause: at one of the three gates the line upstream-unreachable, with suspects=0, comes before the run line of the request. A health check was refused before the connection of the run broke. Suspects were taken only when the upstream was marked as unreachable for the first time, so that crash counted for none.

A refused connection now takes the suspects each time.

--- /dev/null
+++ b/egress/crash_test.go
@@ -0,0 +1,72 @@
+package egress_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/call"
+	"github.com/banyancross/banyancross/egress"
+	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/quarantine"
+	"github.com/banyancross/banyancross/route"
+)
+
+var _ = Describe("a request whose connection breaks after its upstream was found to have ended", func() {
+	It("counts as one that crashed the upstream", func() {
+		// Guards against a request that crashes more upstreams than three, as a health check notices
+		// a crash before the connection of the run breaks.
+		const fingerprint, crashes = 7, 3
+		blocklist := quarantine.NewBlocklist()
+		for i := range crashes {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			running := make(chan net.Conn, 1)
+			go serveUntilClosed(listener, running)
+			t := table()
+			gate := egress.NewGate(listener.Addr().String(), func() *route.Table { return t }, egress.WithBlocklist(blocklist))
+			DeferCleanup(gate.Close)
+			Expect(gate.Heartbeat(heartbeat(listener.Addr().String(), "i-1", "ready", 1000, 1))).To(BeTrue())
+			Eventually(phase(gate)).Should(Equal(fleet.Ready))
+			outcome := make(chan call.Outcome, 1)
+			go func() {
+				m := meta(fmt.Sprint(i))
+				m.Idempotent, m.Fingerprint = false, fingerprint
+				outcome <- do(gate, m).Outcome
+			}()
+			var conn net.Conn
+			Eventually(running).Should(Receive(&conn))
+			Expect(listener.Close()).To(Succeed())
+			Eventually(phase(gate)).Should(Equal(fleet.Absent))
+			Expect(blocklist.Blocked(time.Now(), fingerprint)).To(BeFalse())
+			Expect(conn.Close()).To(Succeed())
+			Eventually(outcome).Should(Receive(Equal(call.Unknown)))
+		}
+		Eventually(func() bool { return blocklist.Blocked(time.Now(), fingerprint) }).Should(BeTrue())
+	})
+})
+
+// serveUntilClosed answers the health checks on the connections of a listener and closes
+// each of them afterwards. It passes on the connections of other requests, unanswered.
+func serveUntilClosed(listener net.Listener, running chan<- net.Conn) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil && r.URL.Path != "/healthz" {
+				running <- conn
+				return
+			}
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			_ = conn.Close()
+		}()
+	}
+}
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -209,13 +209,16 @@
 	g.mu.Lock()
 	marked := g.markUnreachable(t)
 	var suspects []uint64
-	if marked {
+	if g.upstream.instance == t.instance {
+		// A run may break after the upstream was found to have ended.
 		suspects = g.takeCrashSuspects(now)
 	}
 	g.mu.Unlock()
-	if marked {
+	if marked || len(suspects) > 0 {
 		g.blocklist.Crashed(now, suspects)
 		_ = level.Warn(g.logger).Log("event", "upstream-unreachable", "upstream", t.instance, "err", err, "suspects", len(suspects))
+	}
+	if marked {
 		g.notifyPhase()
 	}
 }
