--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,7 +11,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/call"
-	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/hop"
@@ -44,23 +42,15 @@
 	return gate, backend
 }
 
-// advancedClock is the system's clock, moved forward by a duration.
-type advancedClock struct {
-	clock.System
-	shift *atomic.Int64
-}
-
-func (c advancedClock) Now() time.Time { return c.System.Now().Add(time.Duration(c.shift.Load())) }
-
 // newGateWithClock returns a gate like newGate, and a function that moves its clock forward.
 func newGateWithClock() (gate *egress.Gate, backend *standin.Backend, advance func(time.Duration)) {
 	GinkgoHelper()
 	backend = newBackend()
 	t := table()
-	var shift atomic.Int64
-	gate = egress.NewGate(backend.Address(), func() *route.Table { return t }, egress.WithClock(advancedClock{shift: &shift}))
+	now := &shiftedClock{}
+	gate = egress.NewGate(backend.Address(), func() *route.Table { return t }, egress.WithClock(now))
 	DeferCleanup(gate.Close)
-	return gate, backend, func(d time.Duration) { shift.Add(int64(d)) }
+	return gate, backend, func(d time.Duration) { now.shift.Add(int64(d)) }
 }
 
 func heartbeat(address, instance, state string, born, sequence int) platform.Heartbeat {
