--- a/egress/runlog_test.go
+++ b/egress/runlog_test.go
@@ -62,13 +62,21 @@
 	return listener.Addr().String()
 }
 
+// loggingGate returns a gate whose upstream at address is ready, and its log, to be read
+// after Close.
+func loggingGate(address string) (*egress.Gate, *bytes.Buffer) {
+	GinkgoHelper()
+	t, logs := table(), &bytes.Buffer{}
+	gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithLogger(log.NewJSONLogger(log.NewSyncWriter(logs))))
+	Expect(gate.Heartbeat(heartbeat(address, "i-1", "ready", 1000, 1))).To(BeTrue())
+	Eventually(phase(gate)).Should(Equal(fleet.Ready))
+	return gate, logs
+}
+
 var _ = Describe("the log of a gate", func() {
 	DescribeTable("says why a response could not be received", func(text, line string) {
-		address, t := responder(text), table()
-		var logs bytes.Buffer
-		gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithLogger(log.NewJSONLogger(log.NewSyncWriter(&logs))))
-		Expect(gate.Heartbeat(heartbeat(address, "i-1", "ready", 1000, 1))).To(BeTrue())
-		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		address := responder(text)
+		gate, logs := loggingGate(address)
 		do(gate, meta("a"))
 		gate.Close()
 		Expect(logs.String()).To(MatchRegexp(line))
@@ -83,7 +91,7 @@
 		var mu sync.Mutex
 		calls := []string{rejectionOf("a")}
 		calls = append(calls, second...)
-		address, t := listen(func(conn net.Conn) {
+		address := listen(func(conn net.Conn) {
 			br := bufio.NewReader(conn)
 			for {
 				r, err := http.ReadRequest(br)
@@ -98,11 +106,8 @@
 				}
 				_, _ = io.WriteString(conn, text)
 			}
-		}), table()
-		var logs bytes.Buffer
-		gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithLogger(log.NewJSONLogger(log.NewSyncWriter(&logs))))
-		Expect(gate.Heartbeat(heartbeat(address, "i-1", "ready", 1000, 1))).To(BeTrue())
-		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		})
+		gate, logs := loggingGate(address)
 		for _, id := range []string{"a", "b", "c"} {
 			m := meta(id)
 			m.Idempotent = false
@@ -126,7 +131,7 @@
 	)
 
 	It("names both rejections of a request, however many runs have an answer", func() {
-		address, t := listen(func(conn net.Conn) {
+		address := listen(func(conn net.Conn) {
 			br := bufio.NewReader(conn)
 			for {
 				r, err := http.ReadRequest(br)
@@ -143,11 +148,8 @@
 					_, _ = io.WriteString(conn, responseTo(id))
 				}
 			}
-		}), table()
-		var logs bytes.Buffer
-		gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithLogger(log.NewJSONLogger(log.NewSyncWriter(&logs))))
-		Expect(gate.Heartbeat(heartbeat(address, "i-1", "ready", 1000, 1))).To(BeTrue())
-		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		})
+		gate, logs := loggingGate(address)
 		unsafe := func(id string) {
 			m := meta(id)
 			m.Idempotent = false
@@ -164,7 +166,7 @@
 
 	It("limits the lines about discarded responses, and counts all", func() {
 		const surplus = 100
-		address, t := listen(func(conn net.Conn) {
+		address := listen(func(conn net.Conn) {
 			br := bufio.NewReader(conn)
 			for {
 				r, err := http.ReadRequest(br)
@@ -177,11 +179,8 @@
 				}
 				_, _ = io.WriteString(conn, text)
 			}
-		}), table()
-		var logs bytes.Buffer
-		gate := egress.NewGate(address, func() *route.Table { return t }, egress.WithLogger(log.NewJSONLogger(log.NewSyncWriter(&logs))))
-		Expect(gate.Heartbeat(heartbeat(address, "i-1", "ready", 1000, 1))).To(BeTrue())
-		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		})
+		gate, logs := loggingGate(address)
 		began := time.Now()
 		for i := range surplus {
 			do(gate, meta(fmt.Sprint("a", i)))
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -257,6 +257,27 @@
 	return runs
 }
 
+// fleetAfterCrashes returns a fleet in which one request, sent to entry, has crashed three of
+// four upstreams.
+func fleetAfterCrashes() (f *testFleet, entry *host) {
+	GinkgoHelper()
+	f = newTestFleet()
+	f.publish(1)
+	entry = f.add()
+	for range 4 {
+		h := f.add()
+		h.sendHeartbeat("ready")
+		h.backend.InjectFaults(standin.FaultCrash)
+		f.waitUntilAvailable(entry, h)
+	}
+	for i := range 3 {
+		r := call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i))
+		Expect(r.status).To(Equal(http.StatusBadGateway))
+		Expect(f.runs(fmt.Sprintf("d%d", i))).To(HaveLen(1))
+	}
+	return f, entry
+}
+
 var _ = Describe("a fleet of sidecars", func() {
 	It("forwards a request unchanged and sets its caller service", func() {
 		f, a, _ := twoHosts()
@@ -473,38 +494,14 @@
 	})
 
 	It("blocks a request that has crashed three upstreams", func() {
-		f := newTestFleet()
-		f.publish(1)
-		entry := f.add()
-		for range 4 {
-			h := f.add()
-			h.sendHeartbeat("ready")
-			h.backend.InjectFaults(standin.FaultCrash)
-			f.waitUntilAvailable(entry, h)
-		}
-		for i := range 3 {
-			r := call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i))
-			Expect(r.status).To(Equal(http.StatusBadGateway))
-			Expect(f.runs(fmt.Sprintf("d%d", i))).To(HaveLen(1))
-		}
+		f, entry := fleetAfterCrashes()
 		Eventually(func() bool { return entry.sidecar.Blocks("POST", "x", "/pay/deadly", "body") }).Should(BeTrue())
 		Expect(call(entry, http.MethodPost, "/pay/deadly", "last").status).To(Equal(http.StatusServiceUnavailable))
 		Expect(f.runs("last")).To(BeEmpty())
 	})
 
 	It("blocks a request that has crashed three upstreams after its nodes were restarted in turn", func() {
-		f := newTestFleet()
-		f.publish(1)
-		entry := f.add()
-		for range 4 {
-			h := f.add()
-			h.sendHeartbeat("ready")
-			h.backend.InjectFaults(standin.FaultCrash)
-			f.waitUntilAvailable(entry, h)
-		}
-		for i := range 3 {
-			Expect(call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i)).status).To(Equal(http.StatusBadGateway))
-		}
+		f, entry := fleetAfterCrashes()
 		blocks := func(h *host) func() bool {
 			return func() bool { return h.sidecar.Blocks("POST", "x", "/pay/deadly", "body") }
 		}
