ingress: withhold the 503, 429 or 408 of an upstream that ran the request

Callers of a request that may run once got 503, 429 or 408 and could send it again, although it had run: an upstream that runs a request and answers with such a status itself, stamped and without saying that it did not run, had its status passed on.

Cause: the gate takes only rejections for "not run", and the entry node chooses 503 only if no attempt can have run, but what the status of an accepted response tells the caller was nobody's decision.

The entry node now treats such a response as an attempt that may have run: another upstream for a request that may be repeated, and otherwise 502 without the stamp. This works for whichever gate passes the response on, since the promise is made to the caller at the entry node alone.

The soak's upstreams answer so, too.

--- a/call/call.go
+++ b/call/call.go
@@ -62,20 +62,21 @@
 	ReasonAnswerNotKept  Reason = "answer-not-kept"
 	ReasonNoRoute        Reason = "no-route"
 	ReasonNoConfig       Reason = "no-configuration"
-	ReasonSlowed         Reason = "slowed"      // declined because the host is slow
-	ReasonFailing        Reason = "failing"     // declined because most recent calls failed
-	ReasonGarbled        Reason = "garbled"     // no stamp of the upstream, or a content encoding
-	ReasonFailed         Reason = "failed"      // the upstream answered with a server error
-	ReasonUnfinished     Reason = "unfinished"  // in flight when the request ended
-	ReasonStopping       Reason = "stopping"    // the node would stop before the timeout
-	ReasonUnknownKey     Reason = "unknown-key" // the caller's key belongs to no organisation
-	ReasonQuota          Reason = "quota"       // beyond the quota of the organisation
-	ReasonShare          Reason = "share"       // beyond the organisation's share of a full service
-	ReasonLevel          Reason = "level"       // less urgent than what the overloaded service admits
-	ReasonWarming        Reason = "warming"     // beyond what the cold upstream tolerates
-	ReasonEvacuated      Reason = "evacuated"   // the failure domain is evacuated
-	ReasonNoRegion       Reason = "no-region"   // no upstream in the regions that the request may enter
-	ReasonNoParent       Reason = "no-parent"   // the run that may have sent the call is not known yet
+	ReasonSlowed         Reason = "slowed"        // declined because the host is slow
+	ReasonFailing        Reason = "failing"       // declined because most recent calls failed
+	ReasonGarbled        Reason = "garbled"       // no stamp of the upstream, or a content encoding
+	ReasonFailed         Reason = "failed"        // the upstream answered with a server error
+	ReasonFalsePromise   Reason = "false-promise" // the upstream ran the request and answered that it had not
+	ReasonUnfinished     Reason = "unfinished"    // in flight when the request ended
+	ReasonStopping       Reason = "stopping"      // the node would stop before the timeout
+	ReasonUnknownKey     Reason = "unknown-key"   // the caller's key belongs to no organisation
+	ReasonQuota          Reason = "quota"         // beyond the quota of the organisation
+	ReasonShare          Reason = "share"         // beyond the organisation's share of a full service
+	ReasonLevel          Reason = "level"         // less urgent than what the overloaded service admits
+	ReasonWarming        Reason = "warming"       // beyond what the cold upstream tolerates
+	ReasonEvacuated      Reason = "evacuated"     // the failure domain is evacuated
+	ReasonNoRegion       Reason = "no-region"     // no upstream in the regions that the request may enter
+	ReasonNoParent       Reason = "no-parent"     // the run that may have sent the call is not known yet
 )
 
 // Refusal is an answer that a node gives in place of the upstream.
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/platform"
 	"github.com/banyancross/banyancross/routing"
 )
 
@@ -36,10 +37,22 @@
 	r.attempt.cancel()
 }
 
+// withholdPromise replaces a response with which an upstream that ran the request would
+// tell the caller that it had not.
+func (r *result) withholdPromise() {
+	r.answer.Finish()
+	meta := r.answer.Meta
+	meta.Outcome, meta.Reason = call.Unknown, call.ReasonFalsePromise
+	r.answer = &egress.Answer{Meta: meta, Finish: func() {}}
+}
+
 // runAttempt sends a request to one gate, buffers the start of the response and
 // sends the result to results.
 func (in *Ingress) runAttempt(ctx context.Context, a *attempt, meta hop.Meta, c *egress.Call, results chan<- result) {
 	r := result{attempt: a, answer: in.sender.Send(ctx, a.peer, meta, c)}
+	if r.answer.Response != nil && platform.PromisesNoRun(r.status()) {
+		r.withholdPromise()
+	}
 	if r.answer.Response != nil {
 		content, complete, err := r.answer.Response.Body.Buffer(maxBufferedResponse)
 		r.content, r.complete = content, complete
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -344,6 +344,9 @@
 		Entry("after an error response", standin.FaultError),
 		Entry("after an error response with a long body", standin.FaultLongError),
 		Entry("after a rejection", standin.FaultShed),
+		Entry("after status 503 of an upstream that ran it", standin.FaultRunUnavailable),
+		Entry("after status 429 of an upstream that ran it", standin.FaultRunLimited),
+		Entry("after status 408 of an upstream that ran it", standin.FaultRunTimeout),
 	)
 
 	DescribeTable("runs a non-idempotent request at most once",
@@ -362,6 +365,10 @@
 		Entry("after a head that is cut short", standin.FaultTruncateHead, http.StatusBadGateway),
 		Entry("after a trailer section beyond the limit", standin.FaultLongTrailer, http.StatusBadGateway),
 		Entry("after an error response", standin.FaultError, http.StatusInternalServerError),
+		// Guard against a promise that a request has not run, made by an upstream that ran it.
+		Entry("after status 503", standin.FaultRunUnavailable, http.StatusBadGateway),
+		Entry("after status 429", standin.FaultRunLimited, http.StatusBadGateway),
+		Entry("after status 408", standin.FaultRunTimeout, http.StatusBadGateway),
 		Entry("with an extra response", standin.FaultExtra, http.StatusOK),
 		Entry("with a repeated rejection of a health check", standin.FaultRepeatRejection, http.StatusOK),
 		Entry("with a response without a length", standin.FaultUnframed, http.StatusOK),
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -42,7 +42,8 @@
 		s, _ := n.currentServer()
 		s.backend.InjectFaults(standin.FaultDisconnect, standin.FaultShed, standin.FaultError, standin.FaultTruncate, standin.FaultMalformed, standin.FaultUnstamped,
 			standin.FaultTruncateHead, standin.FaultLongTrailer, standin.FaultLongError, standin.FaultRepeatRejection,
-			standin.FaultEndlessHead, standin.FaultEndlessInterim, standin.FaultEndlessExtension)
+			standin.FaultEndlessHead, standin.FaultEndlessInterim, standin.FaultEndlessExtension,
+			standin.FaultRunUnavailable, standin.FaultRunLimited, standin.FaultRunTimeout)
 	case upstreamRejects:
 		n.setRejections(e.rejectShare, e.repeatShare)
 		sleep(ctx, e.duration)
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -42,6 +42,11 @@
 	FaultExtra Fault = "extra"
 	// FaultUnframed answers without a Content-Length header.
 	FaultUnframed Fault = "unframed"
+	// FaultRunUnavailable, FaultRunLimited and FaultRunTimeout run the request and answer with
+	// a status that says that it has not run: 503, 429 and 408.
+	FaultRunUnavailable Fault = "run-unavailable"
+	FaultRunLimited     Fault = "run-limited"
+	FaultRunTimeout     Fault = "run-timeout"
 	// FaultMalformed sends bytes that are not an HTTP response.
 	FaultMalformed Fault = "noise"
 )
@@ -87,6 +92,13 @@
 // FaultLongTrailer, which is longer than any reader may keep.
 const longBytes = 8 << 20
 
+// falseStatuses holds the statuses of requests that have run and are said not to have.
+var falseStatuses = map[Fault]int{
+	FaultRunUnavailable: http.StatusServiceUnavailable,
+	FaultRunLimited:     http.StatusTooManyRequests,
+	FaultRunTimeout:     http.StatusRequestTimeout,
+}
+
 // writeAnswer sends the answer. Faults of the framing bypass net/http, which would
 // not write them.
 func (b *Backend) writeAnswer(w http.ResponseWriter, r *http.Request, fault Fault, id string, body []byte) {
@@ -107,6 +119,9 @@
 	case FaultError:
 		w.Header().Set("Response-Stamp", "s")
 		w.WriteHeader(http.StatusInternalServerError)
+	case FaultRunUnavailable, FaultRunLimited, FaultRunTimeout:
+		w.Header().Set("Response-Stamp", "s")
+		w.WriteHeader(falseStatuses[fault])
 	case FaultUnstamped:
 		_, _ = w.Write(body)
 	case FaultTruncate:
