quarantine: let no block and no crash count end with time

A request that had crashed three upstreams was free again a minute after the last crash, and one that came less often than once a minute was never blocked: it crashed upstreams without end. The rule has no end in time.

Cause: counts ended a minute after their last change, because nodes could not tell an old report from a new one otherwise: reports carried the time that was left, and answers were compared with them by time.

Counts now only grow, by source (one start of a node), and an answer raises how many of them it followed. Nodes merge them by maximum, in any order and any number of times, without clocks. What other nodes have counted travels with each record, which replaces the separate blocks. Earlier versions read the fields that they know; blocks that only they announce are ignored.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -36,7 +36,7 @@
 
 func (g *Gate) do(ctx context.Context, meta hop.Meta, c *Call) *Answer {
 	now := g.clock.Now()
-	if g.blocklist.Blocked(now, meta.Fingerprint) {
+	if g.blocklist.Blocked(meta.Fingerprint) {
 		return Refusal(call.NotRun, call.ReasonQuarantined)
 	}
 	t, refused := g.checkUpstream(meta)
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -69,7 +69,7 @@
 	// to those at low utilization, estimated from SaturationSamples samples.
 	SaturationSlowdown float32 `cbor:"16,keyasint,omitempty"`
 	SaturationSamples  float32 `cbor:"17,keyasint,omitempty"`
-	// Blocklist holds records of requests that crashed upstreams.
+	// Blocklist holds records of requests that have crashed upstreams.
 	Blocklist []quarantine.Record `cbor:"18,keyasint,omitempty"`
 	// StoreUnreachable means that the store does not answer the node.
 	StoreUnreachable bool `cbor:"19,keyasint,omitempty"`
@@ -80,8 +80,8 @@
 	EvacuationRevision uint64 `cbor:"30,keyasint,omitempty"`
 	// Evacuated holds the evacuated failure domains.
 	Evacuated []string `cbor:"31,keyasint,omitempty"`
-	// Blocks holds the requests that the node knows to be blocked, from whichever nodes.
-	Blocks []quarantine.Block `cbor:"32,keyasint,omitempty"`
+	// Earlier versions use key 32 for another value.
+
 	// Interval is the time until the receiver is sent the next beacon.
 	Interval time.Duration `cbor:"14,keyasint,omitempty"`
 }
@@ -89,15 +89,15 @@
 // Encode returns the datagram of a beacon.
 func (b Beacon) Encode() ([]byte, error) { return codec.Marshal(b) }
 
-// EncodeWithin returns the datagram of a beacon without the oldest of the records and
-// blocks if it exceeds a number of bytes otherwise.
+// EncodeWithin returns the datagram of a beacon without the oldest of the records if it
+// exceeds a number of bytes otherwise.
 func (b Beacon) EncodeWithin(bytes int) ([]byte, error) {
 	for {
 		data, err := b.Encode()
-		if err != nil || len(data) <= bytes || len(b.Blocklist)+len(b.Blocks) == 0 {
+		if err != nil || len(data) <= bytes || len(b.Blocklist) == 0 {
 			return data, err
 		}
-		b.Blocklist, b.Blocks = b.Blocklist[:len(b.Blocklist)*3/4], b.Blocks[:len(b.Blocks)*3/4]
+		b.Blocklist = b.Blocklist[:len(b.Blocklist)*3/4]
 	}
 }
 
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		b := *peer.beacon
-		b.Load, b.Blocklist, b.Blocks = call.Load{}, nil, nil
+		b.Load, b.Blocklist = call.Load{}, nil
 		roster = append(roster, b)
 	}
 	return roster
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -264,7 +264,7 @@
 		return
 	}
 	s.fingerprint = Fingerprint(r)
-	if in.blocklist.Blocked(s.received, s.fingerprint) {
+	if in.blocklist.Blocked(s.fingerprint) {
 		s.refuse(call.ReasonQuarantined)
 		return
 	}
--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -1,143 +1,154 @@
 package quarantine
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// blockThreshold is the number of crashes that blocks a request: the
 	// operators' bound on its retries.
 	blockThreshold = 3
-	// crashLifetime is how long a crash count is kept after its last change.
-	crashLifetime = time.Minute
-	// endedLifetime is how long an ended count is kept beyond crashLifetime, so that a
-	// message about the crash that was late does not begin it again.
-	endedLifetime = crashLifetime / 2
-	// reportDelay is how much later than an answer another node's crash may seem to be
-	// that preceded it: the time that messages take.
-	reportDelay = time.Second
-	// maxRecords and maxBlocks bound the records and blocks sent to other nodes at a time.
+	// announceTime is how long nodes tell each other a crash, a block or an answer.
+	announceTime = time.Minute
+	// maxRecords bounds the records sent to other nodes at a time.
 	maxRecords = 24
-	maxBlocks  = 16
 )
 
-// Record is one node's crash count of a request as other nodes receive it.
+// Record is what a node knows of a request that has crashed upstreams, as other nodes
+// receive it.
 type Record struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
-	// Crashes counts the upstreams that ended while they ran the request.
-	Crashes uint32 `cbor:"2,keyasint,omitempty"`
-	// Answered is set if an upstream has answered the request since.
-	Answered bool `cbor:"3,keyasint,omitempty"`
-	// Remaining is the number of milliseconds until the count, or the answer's effect,
-	// ends, 0 if the sender does not tell.
-	Remaining uint32 `cbor:"4,keyasint,omitempty"`
+	// Crashes counts the crashes at the sender, and Answered is set if an upstream has
+	// answered the request there since. Earlier versions read these alone.
+	Crashes  uint32 `cbor:"2,keyasint,omitempty"`
+	Answered bool   `cbor:"3,keyasint,omitempty"`
+	// Earlier versions use key 4 for another value.
+
+	// Counts are sorted by source; empty from earlier versions.
+	Counts []SourceCount `cbor:"5,keyasint,omitempty"`
 }
 
-// Block is a request that a node knows to be blocked, from whichever nodes, as other
-// nodes receive it.
-type Block struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	// Remaining is the number of milliseconds until the block ends.
-	Remaining uint32 `cbor:"2,keyasint"`
+// SourceCount counts the crashes of a request at one source.
+type SourceCount struct {
+	_ struct{} `cbor:",toarray"`
+	// Source identifies a start of a node.
+	Source  uint32
+	Crashes uint32
+	// Answered is how many of the crashes were followed by an answer.
+	Answered uint32
 }
 
 // Blocklist counts, over all nodes, the upstreams that ended while they ran a
-// request, and blocks it at blockThreshold. Unlike Quarantine it does not run
-// suspects alone, so that an upstream that ended for another reason does not
-// delay the requests that it ran; one answer clears a request. It is safe for
-// concurrent use.
+// request, and blocks it at blockThreshold until it is answered, however long that
+// takes. Unlike Quarantine it does not run suspects alone, so that an upstream that
+// ended for another reason does not delay the requests that it ran; one answer clears a
+// request. It is safe for concurrent use.
+//
+// The counts at each source only grow, and so do those that were followed by an answer. So
+// nodes can learn them from each other in any order, any number of times.
 type Blocklist struct {
-	mu     sync.Mutex
-	counts map[uint64]*crashCount
-}
+	source uint32
 
-// crashCount counts the crashes of one request at this node and at its peers.
-type crashCount struct {
-	ownCrashes uint32
-	// peerCrashes has an entry for each start of a node, whose count begins at 0.
-	peerCrashes map[source]uint32
-	// relayed means that another node knows the request to be blocked.
-	relayed  bool
-	answered bool
-	// clearedAt is the time of the latest answer, zero if there was none.
-	clearedAt time.Time
-	// updatedAt is the time of the latest crash or own answer.
-	updatedAt time.Time
+	mu       sync.Mutex
+	requests map[uint64]*crashState
 }
 
-// source is one start of a node.
-type source struct {
-	host        string
-	incarnation int64
+// crashState is what a node knows of one request.
+type crashState struct {
+	// counts are by source.
+	counts map[uint32]sourceCount
+	// answered means that the latest answer came to this node.
+	answered bool
+	// changedAt is the time of the latest change, and ownChangeAt that of the latest crash
+	// or answer at this node.
+	changedAt, ownChangeAt time.Time
 }
 
-// ended reports whether the count no longer applies.
-func (c *crashCount) ended(now time.Time) bool { return now.Sub(c.updatedAt) > crashLifetime }
+// sourceCount holds the counts of SourceCount.
+type sourceCount struct{ crashes, answered uint32 }
 
-// blocks reports whether the count blocks its request.
-func (c *crashCount) blocks(now time.Time) bool {
-	if c.ended(now) {
-		return false
+// crashes returns how many crashes no answer has followed.
+func (c *crashState) crashes() uint64 {
+	total := uint64(0)
+	for _, count := range c.counts {
+		total += uint64(count.crashes - count.answered)
 	}
-	total := c.ownCrashes
-	for _, crashes := range c.peerCrashes {
-		total += crashes
-	}
-	return c.relayed || total >= blockThreshold
+	return total
 }
 
-// clear removes the crashes, since the request was answered.
-func (c *crashCount) clear(answeredAt time.Time) {
-	c.ownCrashes, c.peerCrashes, c.relayed, c.clearedAt = 0, map[source]uint32{}, false, answeredAt
-}
+// blocked reports whether the request must not run.
+func (c *crashState) blocked() bool { return c.crashes() >= blockThreshold }
 
-// precedesAnswer reports whether a crash that another node reports was before the latest
-// answer.
-func (c *crashCount) precedesAnswer(crashedAt time.Time) bool {
-	return c != nil && !c.clearedAt.IsZero() && !crashedAt.After(c.clearedAt.Add(reportDelay))
+// raise raises the counts of a source to those given, and reports whether they were lower.
+func (c *crashState) raise(source uint32, count sourceCount) bool {
+	known := c.counts[source]
+	raised := sourceCount{crashes: max(known.crashes, count.crashes), answered: max(known.answered, count.answered)}
+	raised.crashes = max(raised.crashes, raised.answered)
+	if raised == known {
+		return false
+	}
+	c.counts[source] = raised
+	return true
 }
 
-// remaining returns the milliseconds for which an event counts, at least 1.
-func remaining(now, at time.Time) uint32 {
-	left := crashLifetime - now.Sub(at)
-	return uint32(min(max(left, time.Millisecond), crashLifetime).Milliseconds())
+// clear records that an answer has followed all known crashes.
+func (c *crashState) clear() {
+	for source, count := range c.counts {
+		c.counts[source] = sourceCount{crashes: count.crashes, answered: count.crashes}
+	}
 }
 
 // NewBlocklist returns an empty Blocklist.
-func NewBlocklist() *Blocklist { return &Blocklist{counts: map[uint64]*crashCount{}} }
+func NewBlocklist() *Blocklist {
+	return &Blocklist{source: rand.Uint32(), requests: map[uint64]*crashState{}}
+}
 
 // Crashed records that an upstream ended while it ran the requests.
 func (b *Blocklist) Crashed(now time.Time, fingerprints []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, fingerprint := range fingerprints {
-		c := b.crashCount(now, now, fingerprint)
-		c.ownCrashes++
-		c.answered, c.updatedAt = false, now
+		c := b.request(fingerprint)
+		if c.crashes() == 0 && now.Sub(c.changedAt) > 2*announceTime {
+			// No node announces the other counts any more.
+			maps.DeleteFunc(c.counts, func(source uint32, _ sourceCount) bool { return source != b.source })
+		}
+		count := c.counts[b.source]
+		count.crashes++
+		c.counts[b.source] = count
+		c.answered, c.changedAt, c.ownChangeAt = false, now, now
 	}
-	b.expire(now)
+	b.evict()
 }
 
-// crashCount returns the count of a request that crashed an upstream, a new one if there
-// is none or it has ended; b.mu must be held.
-func (b *Blocklist) crashCount(now, crashedAt time.Time, fingerprint uint64) *crashCount {
-	c := b.counts[fingerprint]
-	if c == nil || c.ended(now) {
-		c = &crashCount{peerCrashes: map[source]uint32{}, updatedAt: crashedAt}
-		b.counts[fingerprint] = c
+// request returns the state of a request, a new one if there is none; b.mu must be held.
+func (b *Blocklist) request(fingerprint uint64) *crashState {
+	c := b.requests[fingerprint]
+	if c == nil {
+		c = &crashState{counts: map[uint32]sourceCount{}}
+		b.requests[fingerprint] = c
 	}
 	return c
 }
 
-// expire deletes expired counts, and arbitrary ones above maxEntries; b.mu must
-// be held.
-func (b *Blocklist) expire(now time.Time) {
-	for fingerprint, c := range b.counts {
-		if now.Sub(c.updatedAt) > crashLifetime+endedLifetime || len(b.counts) > maxEntries {
-			delete(b.counts, fingerprint)
-		}
+// evict deletes requests if there are more than maxEntries, blocked ones last and others by
+// their age; b.mu must be held.
+func (b *Blocklist) evict() {
+	if len(b.requests) <= maxEntries {
+		return
+	}
+	order := b.latest((*crashState).blocked)
+	order = append(order, b.latest(func(c *crashState) bool { return c.crashes() > 0 && !c.blocked() })...)
+	order = append(order, b.latest(func(c *crashState) bool { return c.crashes() == 0 })...)
+	for _, fingerprint := range order[maxEntries*7/8:] {
+		delete(b.requests, fingerprint)
 	}
 }
 
@@ -145,116 +156,107 @@
 func (b *Blocklist) Answered(now time.Time, fingerprint uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c := b.counts[fingerprint]; c != nil && !c.ended(now) {
-		c.clear(now)
-		c.answered, c.updatedAt = true, now
+	if c := b.requests[fingerprint]; c != nil && c.crashes() > 0 {
+		c.clear()
+		c.answered, c.changedAt, c.ownChangeAt = true, now, now
 	}
 }
 
 // Blocked reports whether the request must not run.
-func (b *Blocklist) Blocked(now time.Time, fingerprint uint64) bool {
+func (b *Blocklist) Blocked(fingerprint uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.counts[fingerprint]
-	return c != nil && c.blocks(now)
+	c := b.requests[fingerprint]
+	return c != nil && c.blocked()
+}
+
+// RecentRecords returns what has changed at this node and what was blocked within
+// announceTime, the latest first.
+func (b *Blocklist) RecentRecords(now time.Time) []Record {
+	return b.records(func(c *crashState) bool {
+		return now.Sub(c.ownChangeAt) <= announceTime ||
+			c.blocked() && now.Sub(c.changedAt) <= announceTime
+	})
+}
+
+// Records returns the latest records for a node that has just started, the latest first.
+func (b *Blocklist) Records() []Record {
+	return b.records(func(c *crashState) bool { return c.crashes() > 0 })
 }
 
-// Records returns this node's records for other nodes, the latest first.
-func (b *Blocklist) Records(now time.Time) []Record {
+// records returns the latest records of the requests that a condition selects.
+func (b *Blocklist) records(selects func(*crashState) bool) []Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.expire(now)
-	latest := b.latest(maxRecords, func(c *crashCount) bool { return !c.ended(now) && (c.ownCrashes > 0 || c.answered) })
-	records := make([]Record, 0, len(latest))
-	for _, fingerprint := range latest {
-		c := b.counts[fingerprint]
-		at := c.updatedAt
-		if c.answered {
-			at = c.clearedAt
-		}
-		records = append(records, Record{Fingerprint: fingerprint, Crashes: c.ownCrashes, Answered: c.answered, Remaining: remaining(now, at)})
+	latest := b.latest(selects)
+	records := make([]Record, 0, min(len(latest), maxRecords))
+	for _, fingerprint := range latest[:min(len(latest), maxRecords)] {
+		c := b.requests[fingerprint]
+		record := c.record(fingerprint)
+		own := c.counts[b.source]
+		record.Crashes, record.Answered = own.crashes-own.answered, c.answered
+		records = append(records, record)
 	}
 	return records
 }
 
-// Blocks returns the requests that this node knows to be blocked, the latest first. Nodes
-// that have lost their counts in a restart learn the blocks from the others.
-func (b *Blocklist) Blocks(now time.Time) []Block {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	latest := b.latest(maxBlocks, func(c *crashCount) bool { return c.blocks(now) })
-	blocks := make([]Block, 0, len(latest))
-	for _, fingerprint := range latest {
-		blocks = append(blocks, Block{Fingerprint: fingerprint, Remaining: remaining(now, b.counts[fingerprint].updatedAt)})
+// record returns the record of a request without what only earlier versions read.
+func (c *crashState) record(fingerprint uint64) Record {
+	r := Record{Fingerprint: fingerprint, Counts: make([]SourceCount, 0, len(c.counts))}
+	for _, source := range slices.Sorted(maps.Keys(c.counts)) {
+		count := c.counts[source]
+		r.Counts = append(r.Counts, SourceCount{Source: source, Crashes: count.crashes, Answered: count.answered})
 	}
-	return blocks
+	return r
 }
 
-// latest returns the requests whose count was updated last among those that a condition
-// selects, up to a limit; b.mu must be held.
-func (b *Blocklist) latest(limit int, selects func(*crashCount) bool) []uint64 {
-	order := make([]uint64, 0, len(b.counts))
-	for fingerprint, c := range b.counts {
+// latest returns the requests that a condition selects, the latest changed first; b.mu must
+// be held.
+func (b *Blocklist) latest(selects func(*crashState) bool) []uint64 {
+	var order []uint64
+	for fingerprint, c := range b.requests {
 		if selects(c) {
 			order = append(order, fingerprint)
 		}
 	}
-	sort.Slice(order, func(i, j int) bool { return b.counts[order[i]].updatedAt.After(b.counts[order[j]].updatedAt) })
-	return order[:min(len(order), limit)]
+	sort.Slice(order, func(i, j int) bool {
+		first, second := b.requests[order[i]].changedAt, b.requests[order[j]].changedAt
+		return first.After(second) || first.Equal(second) && order[i] < order[j]
+	})
+	return order
 }
 
-// Merge stores the records and blocks of another node, of one incarnation of it.
-func (b *Blocklist) Merge(now time.Time, host string, incarnation int64, records []Record, blocks []Block) {
+// Merge adds the records of another node, of one incarnation of it.
+func (b *Blocklist) Merge(now time.Time, host string, incarnation int64, records []Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	from := source{host: host, incarnation: incarnation}
 	for _, record := range records {
-		at := eventTime(now, record.Remaining)
-		known := b.counts[record.Fingerprint]
-		if record.Answered {
-			if known != nil && !known.updatedAt.After(at.Add(reportDelay)) {
-				known.clear(at)
-			}
-			continue
-		}
-		repeated := known != nil && !known.ended(now) && known.peerCrashes[from] == record.Crashes
-		if repeated || known.outdates(now, at) || known.precedesAnswer(at) {
+		if len(record.Counts) == 0 {
+			b.mergeEarlier(now, host, incarnation, record)
 			continue
 		}
-		c := b.crashCount(now, at, record.Fingerprint)
-		c.peerCrashes[from] = record.Crashes
-		c.renew(at)
-	}
-	for _, block := range blocks {
-		at := eventTime(now, block.Remaining)
-		known := b.counts[block.Fingerprint]
-		if known.outdates(now, at) || known.precedesAnswer(at) || known != nil && known.blocks(now) {
-			continue
+		c := b.request(record.Fingerprint)
+		for _, count := range record.Counts {
+			if c.raise(count.Source, sourceCount{crashes: count.Crashes, answered: count.Answered}) {
+				c.changedAt = now
+			}
 		}
-		c := b.crashCount(now, at, block.Fingerprint)
-		c.relayed = true
-		c.renew(at)
 	}
+	b.evict()
 }
 
-// outdates reports whether the count has ended and includes a crash that another node
-// reports.
-func (c *crashCount) outdates(now, crashedAt time.Time) bool {
-	return c != nil && c.ended(now) && crashedAt.Sub(c.updatedAt) < endedLifetime
-}
-
-// renew sets the time of the latest crash.
-func (c *crashCount) renew(crashedAt time.Time) {
-	if crashedAt.After(c.updatedAt) {
-		c.updatedAt = crashedAt
+// mergeEarlier adds the record of a node of an earlier version; b.mu must be held.
+func (b *Blocklist) mergeEarlier(now time.Time, host string, incarnation int64, record Record) {
+	if known := b.requests[record.Fingerprint]; record.Answered {
+		if known != nil && known.crashes() > 0 {
+			known.clear()
+			known.changedAt = now
+		}
+		return
 	}
-}
-
-// eventTime returns the time of an event that counts for a number of milliseconds more,
-// now if the number is 0.
-func eventTime(now time.Time, remaining uint32) time.Time {
-	if remaining == 0 {
-		return now
+	source := uint32(xxhash.Sum64String(host)) ^ uint32(incarnation)
+	c := b.request(record.Fingerprint)
+	if c.raise(source, sourceCount{crashes: record.Crashes}) {
+		c.changedAt = now
 	}
-	return now.Add(min(time.Duration(remaining)*time.Millisecond, crashLifetime) - crashLifetime)
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -7,8 +7,7 @@
 // runs alone, that request is quarantined; if it is answered, it is cleared.
 // Suspects and quarantined requests are broadcast to all nodes and expire.
 //
-// A Blocklist counts crashes instead and blocks a request at the third, until an answer
-// or a minute after its last crash. Nodes tell each other what they counted and the blocks
-// that they know, with the time that is left, so that a node that restarts while another
-// lives learns the blocks again.
+// A Blocklist counts crashes instead and blocks a request at the third, until an answer.
+// Nodes tell each other what they know, so that a node that restarts while another lives
+// learns it again.
 package quarantine
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -74,8 +74,7 @@
 	}
 	b.EvacuationRevision, b.Evacuated = s.knownEvacuation().Announcement()
 	s.gate.FillBeacon(&b)
-	now := s.clock.Now()
-	b.Blocklist, b.Blocks = s.blocklist.Records(now), s.blocklist.Blocks(now)
+	b.Blocklist = s.blocklist.RecentRecords(s.clock.Now())
 	return b
 }
 
@@ -354,7 +353,7 @@
 	s.ingress.UpdateLoad(&b)
 	if change.Later == nil {
 		// The sender raises its incarnation otherwise, and would be counted twice.
-		s.blocklist.Merge(s.clock.Now(), b.Host, b.Incarnation, b.Blocklist, b.Blocks)
+		s.blocklist.Merge(s.clock.Now(), b.Host, b.Incarnation, b.Blocklist)
 	}
 	if change.Changed || change.WasSilent {
 		s.logNode(b, change)
@@ -367,6 +366,7 @@
 		// The other node may not know this one yet, waits for a sign of life, or obeys an
 		// evacuation that has changed.
 		own := s.beacon()
+		own.Blocklist = s.blocklist.Records()
 		s.sendDatagram(&b, transferBeacons, s.encodeBeacon(own, gossipInterval(s.view.Len())))
 	}
 	if table := s.table.Load(); table == nil && b.Revision > 0 || table != nil && b.Revision > table.Revision() {
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -216,10 +216,10 @@
 		return err
 	}
 	entry := s.beacon()
-	// The store has the evacuations themselves, and crash counts and blocks would be out
+	// The store has the evacuations themselves, and crash counts would be out
 	// of date when the entry is read.
 	entry.EvacuationRevision, entry.Evacuated = 0, nil
-	entry.Blocklist, entry.Blocks = nil, nil
+	entry.Blocklist = nil
 	value, err := codec.Marshal(entry)
 	if err != nil {
 		return err
