sidecar, quarantine: keep crash counts in the store

A request that had crashed three upstreams crashed three more after all nodes were killed at once, and one whose crashes all nodes forgot in between was never blocked.

Cause: the counts lay in the memory of the nodes alone, so that they ended with the last node that remembered.

The first list of a restarted node is linearizable, and a node is ready only once it knows the counts, from the store or from the roster of a node that does. What one node counted and did not write, another writes after 10 s.

--- a/cmd/banyancross/main.go
+++ b/cmd/banyancross/main.go
@@ -28,6 +28,7 @@
 	Sidecar  sidecarCommand  `cmd:"" help:"Run the node on a host that the platform runs."`
 	Explain  explainCommand  `cmd:"" help:"Collect what several nodes logged about one request."`
 	Where    whereCommand    `cmd:"" help:"Show where a request would go now, and why, without sending it."`
+	Crashes  crashesCommand  `cmd:"" help:"List the requests that have crashed upstreams, and lift blocks."`
 	Losses   lossesCommand   `cmd:"" help:"Table what played days lost of their worth, and why."`
 	Note     noteCommand     `cmd:"" help:"Publish, amend, withdraw and read release notes."`
 	Status   statusCommand   `cmd:"" help:"Show services, upstreams and nodes."`
--- a/cmd/banyancross/script_test.go
+++ b/cmd/banyancross/script_test.go
@@ -56,6 +56,7 @@
 			"runs":     runsCommand,
 			"raw":      rawCommand,
 			"contains": containsCommand,
+			"blocked":  blockedCommand,
 
 			"envsubst": substituteCommand,
 		},
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -82,6 +82,9 @@
 	Evacuated []string `cbor:"31,keyasint,omitempty"`
 	// Earlier versions use key 32 for another value.
 
+	// Crashes holds the crash counts that the node knows, in a roster of its own only; nil
+	// if it has not read those of the fleet.
+	Crashes *quarantine.Snapshot `cbor:"33,keyasint,omitempty"`
 	// Interval is the time until the receiver is sent the next beacon.
 	Interval time.Duration `cbor:"14,keyasint,omitempty"`
 }
@@ -110,6 +113,7 @@
 	if err := b.validate(); err != nil {
 		return Beacon{}, malformed("decode", err)
 	}
+	b.Crashes = nil
 	return b, nil
 }
 
--- a/ingress/deliver.go
+++ b/ingress/deliver.go
@@ -82,6 +82,7 @@
 		ID: s.headers.ID(), Service: s.service, Status: status, Outcome: outcome, Reason: reason,
 		Attempts: s.arrivals, Picks: s.picks, Elapsed: elapsed, Trail: s.trail,
 		RetryDenied: s.retryDenied, ParentRetried: s.parentRetried, Organisation: s.organisationName(),
+		Fingerprint: s.fingerprint,
 	}
 	if s.table != nil {
 		o.Revision = s.table.Revision()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -57,6 +57,8 @@
 	Elapsed time.Duration
 	// Late means that the request took longer than the route's latency objective.
 	Late bool
+	// Fingerprint identifies the request across resends by its caller.
+	Fingerprint uint64
 	// RetryDenied means that the retry budget forbade another attempt.
 	RetryDenied bool
 	// ParentRetried means that the request is a nested call of a retried run, so that
--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -15,14 +15,15 @@
 	// blockThreshold is the number of crashes that blocks a request: the
 	// operators' bound on its retries.
 	blockThreshold = 3
-	// announceTime is how long nodes tell each other a crash, a block or an answer.
+	// announceTime is how long nodes tell each other a crash, a block or an answer. Nodes
+	// that miss it learn of it from the stored counts.
 	announceTime = time.Minute
 	// maxRecords bounds the records sent to other nodes at a time.
 	maxRecords = 24
 )
 
-// Record is what a node knows of a request that has crashed upstreams, as other nodes
-// receive it.
+// Record is what a node knows of a request that has crashed upstreams, as other nodes and
+// the store receive it.
 type Record struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
 	// Crashes counts the crashes at the sender, and Answered is set if an upstream has
@@ -45,6 +46,18 @@
 	Answered uint32
 }
 
+// Unanswered returns how many crashes no answer has followed.
+func (r Record) Unanswered() uint64 {
+	total := uint64(0)
+	for _, count := range r.Counts {
+		total += uint64(max(count.Crashes, count.Answered) - count.Answered)
+	}
+	return total
+}
+
+// Blocked reports whether the request must not run.
+func (r Record) Blocked() bool { return r.Unanswered() >= blockThreshold }
+
 // Blocklist counts, over all nodes, the upstreams that ended while they ran a
 // request, and blocks it at blockThreshold until it is answered, however long that
 // takes. Unlike Quarantine it does not run suspects alone, so that an upstream that
@@ -52,18 +65,32 @@
 // request. It is safe for concurrent use.
 //
 // The counts at each source only grow, and so do those that were followed by an answer. So
-// nodes can learn them from each other in any order, any number of times.
+// nodes can learn them in any order, any number of times, and from each other or the store.
 type Blocklist struct {
 	source uint32
+	notify func()
 
 	mu       sync.Mutex
 	requests map[uint64]*crashState
+	// version is the version of the latest stored counts that were read.
+	version uint64
+}
+
+// BlocklistOption configures a Blocklist.
+type BlocklistOption func(*Blocklist)
+
+// WithCrashNotify calls notify, which must not block, after crashes at this node.
+func WithCrashNotify(notify func()) BlocklistOption {
+	return func(b *Blocklist) { b.notify = notify }
 }
 
 // crashState is what a node knows of one request.
 type crashState struct {
 	// counts are by source.
 	counts map[uint32]sourceCount
+	// saved holds the counts that the store had when it was read or written last, nil if it
+	// did not have the request.
+	saved map[uint32]sourceCount
 	// answered means that the latest answer came to this node.
 	answered bool
 	// changedAt is the time of the latest change, and ownChangeAt that of the latest crash
@@ -106,14 +133,17 @@
 }
 
 // NewBlocklist returns an empty Blocklist.
-func NewBlocklist() *Blocklist {
-	return &Blocklist{source: rand.Uint32(), requests: map[uint64]*crashState{}}
+func NewBlocklist(options ...BlocklistOption) *Blocklist {
+	b := &Blocklist{source: rand.Uint32(), notify: func() {}, requests: map[uint64]*crashState{}}
+	for _, option := range options {
+		option(b)
+	}
+	return b
 }
 
 // Crashed records that an upstream ended while it ran the requests.
 func (b *Blocklist) Crashed(now time.Time, fingerprints []uint64) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	for _, fingerprint := range fingerprints {
 		c := b.request(fingerprint)
 		if c.crashes() == 0 && now.Sub(c.changedAt) > 2*announceTime {
@@ -126,6 +156,10 @@
 		c.answered, c.changedAt, c.ownChangeAt = false, now, now
 	}
 	b.evict()
+	b.mu.Unlock()
+	if len(fingerprints) > 0 {
+		b.notify()
+	}
 }
 
 // request returns the state of a request, a new one if there is none; b.mu must be held.
@@ -170,12 +204,19 @@
 	return c != nil && c.blocked()
 }
 
+// BlockedRequests returns how many requests must not run.
+func (b *Blocklist) BlockedRequests() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.latest((*crashState).blocked))
+}
+
 // RecentRecords returns what has changed at this node and what was blocked within
-// announceTime, the latest first.
+// announceTime, and the blocks that are not stored yet, the latest first.
 func (b *Blocklist) RecentRecords(now time.Time) []Record {
 	return b.records(func(c *crashState) bool {
 		return now.Sub(c.ownChangeAt) <= announceTime ||
-			c.blocked() && now.Sub(c.changedAt) <= announceTime
+			c.blocked() && (now.Sub(c.changedAt) <= announceTime || !maps.Equal(c.counts, c.saved))
 	})
 }
 
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -8,6 +8,6 @@
 // Suspects and quarantined requests are broadcast to all nodes and expire.
 //
 // A Blocklist counts crashes instead and blocks a request at the third, until an answer.
-// Nodes tell each other what they know, so that a node that restarts while another lives
-// learns it again.
+// Nodes tell each other what they know, and a Snapshot of it is stored, so that it outlives
+// all of them.
 package quarantine
--- /dev/null
+++ b/quarantine/snapshot.go
@@ -0,0 +1,111 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxSavedBlocks and maxSavedCounts bound the blocked and the other requests of a
+	// Snapshot.
+	maxSavedBlocks = 512
+	maxSavedCounts = 512
+	// unsavedGrace is the time within which the node that counted a crash stores it. Later
+	// any other node does.
+	unsavedGrace = 10 * time.Second
+)
+
+// Snapshot holds what all nodes know of the requests that have crashed upstreams, so that
+// it outlives each of them.
+type Snapshot struct {
+	// Requests are sorted by fingerprint.
+	Requests []Record `cbor:"1,keyasint,omitempty"`
+}
+
+// counts returns the counts by fingerprint and source.
+func (s Snapshot) counts() map[uint64]map[uint32]sourceCount {
+	requests := make(map[uint64]map[uint32]sourceCount, len(s.Requests))
+	for _, record := range s.Requests {
+		counts := make(map[uint32]sourceCount, len(record.Counts))
+		for _, count := range record.Counts {
+			counts[count.Source] = sourceCount{crashes: count.Crashes, answered: count.Answered}
+		}
+		requests[record.Fingerprint] = counts
+	}
+	return requests
+}
+
+// Snapshot returns what this node knows of the requests that were not answered since their
+// latest crash.
+func (b *Blocklist) Snapshot() Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	blocked := b.latest((*crashState).blocked)
+	counted := b.latest(func(c *crashState) bool { return c.crashes() > 0 && !c.blocked() })
+	var s Snapshot
+	for _, fingerprint := range slices.Concat(blocked[:min(len(blocked), maxSavedBlocks)], counted[:min(len(counted), maxSavedCounts)]) {
+		s.Requests = append(s.Requests, b.requests[fingerprint].record(fingerprint))
+	}
+	slices.SortFunc(s.Requests, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return s
+}
+
+// Saved records that a Snapshot of this node is stored.
+func (b *Blocklist) Saved(s Snapshot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	saved := s.counts()
+	for fingerprint, c := range b.requests {
+		c.saved = saved[fingerprint]
+	}
+}
+
+// Restore adds the stored counts unless those of a later version were added. A request that
+// is no longer stored is cleared of the crashes that were: another node has had an answer,
+// or an operator has removed it.
+func (b *Blocklist) Restore(now time.Time, version uint64, s Snapshot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version <= b.version {
+		return
+	}
+	b.version = version
+	stored := s.counts()
+	for fingerprint, c := range b.requests {
+		if stored[fingerprint] != nil {
+			continue
+		}
+		for source, count := range c.saved {
+			if c.raise(source, sourceCount{answered: count.crashes}) {
+				c.changedAt = now
+			}
+		}
+		c.saved = nil
+	}
+	for fingerprint, counts := range stored {
+		c := b.request(fingerprint)
+		for source, count := range counts {
+			if c.raise(source, count) {
+				c.changedAt = now
+			}
+		}
+		c.saved = counts
+	}
+	b.evict()
+}
+
+// Unsaved reports whether the store lacks what another node should have stored meanwhile,
+// or has a request that was answered.
+func (b *Blocklist) Unsaved(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.requests {
+		if c.crashes() == 0 && c.saved != nil ||
+			c.crashes() > 0 && !maps.Equal(c.counts, c.saved) && now.Sub(c.changedAt) > unsavedGrace {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/quarantine/snapshot_test.go
@@ -0,0 +1,235 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/quarantine"
+)
+
+// storedCounts is a store of crash counts with conditional writes.
+type storedCounts struct {
+	version  uint64
+	snapshot quarantine.Snapshot
+}
+
+// read applies the stored counts to a node's.
+func (s *storedCounts) read(now time.Time, b *quarantine.Blocklist) {
+	b.Restore(now, s.version, s.snapshot)
+}
+
+// write reads and then writes the counts that a node knows.
+func (s *storedCounts) write(now time.Time, b *quarantine.Blocklist) {
+	s.read(now, b)
+	s.version++
+	s.snapshot = b.Snapshot()
+	b.Saved(s.snapshot)
+}
+
+// start returns the counts of a node that has just started and read the stored ones.
+func (s *storedCounts) start(now time.Time) *quarantine.Blocklist {
+	b := quarantine.NewBlocklist()
+	s.read(now, b)
+	return b
+}
+
+var _ = Describe("stored crash counts", func() {
+	at := time.Unix(1_800_000_000, 0)
+	var store *storedCounts
+	BeforeEach(func() { store = &storedCounts{} })
+
+	It("add up over restarts of all nodes", func() {
+		for range 3 {
+			a := store.start(at)
+			Expect(a.Blocked(1)).To(BeFalse())
+			a.Crashed(at, []uint64{1})
+			store.write(at, a)
+		}
+		Expect(store.start(at.Add(time.Hour)).Blocked(1)).To(BeTrue())
+	})
+
+	It("count a crash once that nodes also tell each other", func() {
+		a, b := store.start(at), store.start(at)
+		for i := range 2 {
+			a.Crashed(at, []uint64{1})
+			b.Merge(at, "a", 1, a.RecentRecords(at))
+			store.write(at, a)
+			store.write(at, b)
+			store.read(at, a)
+			Expect(a.Blocked(1) || b.Blocked(1)).To(BeFalse(), "crash %d", i+1)
+			Expect(store.start(at).Blocked(1)).To(BeFalse(), "crash %d", i+1)
+		}
+		b.Crashed(at, []uint64{1})
+		a.Merge(at, "b", 1, b.RecentRecords(at))
+		Expect(a.Blocked(1) && b.Blocked(1)).To(BeTrue())
+	})
+
+	It("end at all nodes with an answer, also at those that were not told", func() {
+		a, b := store.start(at), store.start(at)
+		for range 3 {
+			a.Crashed(at, []uint64{1})
+		}
+		store.write(at, a)
+		store.read(at, b)
+		a.Answered(at.Add(time.Second), 1)
+		Expect(a.Unsaved(at.Add(time.Second))).To(BeTrue())
+		store.write(at.Add(time.Second), a)
+		Expect(a.Unsaved(at.Add(time.Second))).To(BeFalse())
+		Expect(b.Blocked(1)).To(BeTrue())
+		store.read(at.Add(2*time.Second), b)
+		Expect(b.Blocked(1)).To(BeFalse())
+		Expect(store.start(at).Blocked(1)).To(BeFalse())
+	})
+
+	It("do not begin a block again that was answered before they were written", func() {
+		a, b := store.start(at), store.start(at)
+		for range 3 {
+			a.Crashed(at, []uint64{1})
+		}
+		b.Merge(at, "a", 1, a.RecentRecords(at))
+		b.Answered(at.Add(time.Second), 1)
+		store.write(at.Add(time.Second), a)
+		store.read(at.Add(2*time.Second), b)
+		Expect(b.Blocked(1)).To(BeFalse())
+		store.write(at.Add(2*time.Second), b)
+		store.read(at.Add(2*time.Second), a)
+		Expect(a.Blocked(1)).To(BeFalse())
+	})
+
+	It("are written by another node if the one that counted is lost", func() {
+		a, b := store.start(at), store.start(at)
+		for range 3 {
+			a.Crashed(at, []uint64{1})
+		}
+		b.Merge(at, "a", 1, a.RecentRecords(at))
+		Expect(b.Unsaved(at.Add(time.Second))).To(BeFalse())
+		later := at.Add(time.Minute)
+		Expect(b.Unsaved(later)).To(BeTrue())
+		store.write(later, b)
+		Expect(b.Unsaved(later)).To(BeFalse())
+		Expect(store.start(later).Blocked(1)).To(BeTrue())
+	})
+
+	It("are announced until they are stored, and to a node that joins", func() {
+		a := store.start(at)
+		for range 3 {
+			a.Crashed(at, []uint64{1})
+		}
+		later := at.Add(time.Hour)
+		Expect(a.RecentRecords(later)).To(HaveLen(1))
+		store.write(later, a)
+		Expect(a.RecentRecords(later)).To(BeEmpty())
+		Expect(a.Records()).To(HaveLen(1))
+		b := quarantine.NewBlocklist()
+		b.Merge(later, "a", 1, a.Records())
+		Expect(b.Blocked(1)).To(BeTrue())
+	})
+
+	It("are not undone by an earlier version that is read late", func() {
+		a := store.start(at)
+		a.Crashed(at, []uint64{2})
+		store.write(at, a)
+		earlier := *store
+		for range 3 {
+			a.Crashed(at, []uint64{1})
+		}
+		store.write(at, a)
+		store.read(at, a)
+		earlier.read(at, a)
+		Expect(a.Blocked(1)).To(BeTrue())
+	})
+
+	It("are passed on by a node to one that joins", func() {
+		a := store.start(at)
+		a.Crashed(at, []uint64{1, 2})
+		a.Crashed(at, []uint64{1, 2})
+		a.Crashed(at, []uint64{1})
+		b := quarantine.NewBlocklist()
+		b.Merge(at, "a", 1, a.Snapshot().Requests)
+		Expect(b.Blocked(1)).To(BeTrue())
+		Expect(b.Blocked(2)).To(BeFalse())
+		b.Crashed(at.Add(time.Hour), []uint64{2})
+		Expect(b.Blocked(2)).To(BeTrue())
+	})
+
+	It("are bounded, and keep blocks", func() {
+		a := store.start(at)
+		for i := range uint64(3000) {
+			a.Crashed(at.Add(time.Duration(i)*time.Second), []uint64{i})
+		}
+		a.Crashed(at, []uint64{5000})
+		a.Crashed(at, []uint64{5000})
+		a.Crashed(at, []uint64{5000})
+		snapshot := a.Snapshot()
+		Expect(len(snapshot.Requests)).To(BeNumerically("<=", 1024))
+		b := quarantine.NewBlocklist()
+		b.Restore(at, 1, snapshot)
+		Expect(b.Blocked(5000)).To(BeTrue())
+	})
+
+	It("block the same requests at all nodes after any crashes, answers, restarts and losses of messages", func() {
+		for seed := range uint64(300) {
+			checkStoredCounts(seed, at)
+		}
+	})
+})
+
+// checkStoredCounts plays random crashes, each of which is stored before its node ends, and
+// checks that each node that has read the store blocks the requests that have crashed three
+// upstreams since their latest answer.
+func checkStoredCounts(seed uint64, at time.Time) {
+	GinkgoHelper()
+	rng := rand.New(rand.NewPCG(seed, seed))
+	store := &storedCounts{}
+	const hosts, requests = 4, 3
+	nodes := make([]*quarantine.Blocklist, hosts)
+	for i := range nodes {
+		nodes[i] = store.start(at)
+	}
+	crashes, now := map[uint64]int{}, at
+	var steps []string
+	for range 60 {
+		now = now.Add(time.Duration(rng.IntN(100)) * time.Second)
+		i, request := rng.IntN(hosts), rng.Uint64N(requests)
+		switch rng.IntN(6) {
+		case 0, 1:
+			steps = append(steps, fmt.Sprintf("%d counts %d", i, request))
+			nodes[i].Crashed(now, []uint64{request})
+			crashes[request]++
+			store.write(now, nodes[i])
+		case 2:
+			if nodes[i].Blocked(request) {
+				continue
+			}
+			steps = append(steps, fmt.Sprintf("%d answers %d", i, request))
+			nodes[i].Answered(now, request)
+			crashes[request] = 0
+			store.write(now, nodes[i])
+		case 3:
+			steps = append(steps, fmt.Sprintf("%d restarts", i))
+			nodes[i] = store.start(now)
+		case 4:
+			steps = append(steps, "all restart")
+			for i := range nodes {
+				nodes[i] = store.start(now)
+			}
+		case 5:
+			for j := range nodes {
+				if j != i && rng.IntN(2) == 0 {
+					steps = append(steps, fmt.Sprintf("%d hears %d", j, i))
+					nodes[j].Merge(now, fmt.Sprint(i), 1, nodes[i].RecentRecords(now))
+				}
+			}
+		}
+		for j := range nodes {
+			store.read(now, nodes[j])
+			for request := range uint64(requests) {
+				Expect(nodes[j].Blocked(request)).To(Equal(crashes[request] >= 3), "seed %d, request %d at node %d: %v", seed, request, j, steps)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/crashes_test.go
@@ -0,0 +1,158 @@
+package sidecar_test
+
+import (
+	"fmt"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/standin"
+)
+
+const crashesKey = "banyancross/crashes"
+
+// killAll kills all nodes at once, starts them again and waits until they are ready.
+func (f *testFleet) killAll() {
+	GinkgoHelper()
+	for _, h := range f.hosts {
+		h.sidecar.Kill()
+	}
+	for _, h := range f.hosts {
+		h.start()
+	}
+	for _, h := range f.hosts {
+		Eventually(h.sidecar.Ready).Should(BeTrue())
+	}
+}
+
+// blocksDeadly returns whether a host's node blocks the request of fleetAfterCrashes.
+func blocksDeadly(h *host) func() bool {
+	return func() bool { return h.sidecar.Blocks("POST", "x", "/pay/deadly", "body") }
+}
+
+// expectNoRun sends the request of fleetAfterCrashes once more, which must be refused.
+func (f *testFleet) expectNoRun(entry *host, id string) {
+	GinkgoHelper()
+	Expect(call(entry, http.MethodPost, "/pay/deadly", id).status).To(Equal(http.StatusServiceUnavailable))
+	Expect(f.runs(id)).To(BeEmpty())
+}
+
+// unharmed returns the host whose upstream fleetAfterCrashes has left.
+func (f *testFleet) unharmed() *host {
+	GinkgoHelper()
+	for _, h := range f.hosts[1:] {
+		if len(h.backend.Runs()) == 0 {
+			return h
+		}
+	}
+	Fail("all upstreams have crashed")
+	return nil
+}
+
+var _ = Describe("crash counts", func() {
+	It("block a request after all nodes were killed at once", func() {
+		// Guards against a blocked request that crashes upstreams again once no node remembers it.
+		f, entry := fleetAfterCrashes()
+		Eventually(blocksDeadly(entry)).Should(BeTrue())
+		Eventually(func() []byte { return f.store.Value(crashesKey) }).ShouldNot(BeEmpty())
+		last := f.unharmed()
+		for range 2 {
+			f.killAll()
+			for _, h := range f.hosts {
+				Expect(blocksDeadly(h)()).To(BeTrue(), h.name)
+			}
+			last.sendHeartbeat("ready")
+			f.waitUntilAvailable(entry, last)
+			f.expectNoRun(entry, "last")
+		}
+	})
+
+	It("include the crashes before all nodes were killed at once", func() {
+		// Guards against a request that crashes upstreams without end, as its count begins anew.
+		f := newTestFleet()
+		f.publish(1)
+		entry := f.add()
+		for i := range 3 {
+			h := f.add()
+			h.sendHeartbeat("ready")
+			h.backend.InjectFaults(standin.FaultCrash)
+			f.waitUntilAvailable(entry, h)
+			before := f.store.Value(crashesKey)
+			Expect(call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i)).status).To(Equal(http.StatusBadGateway))
+			Eventually(func() []byte { return f.store.Value(crashesKey) }).ShouldNot(Equal(before))
+			f.killAll()
+		}
+		h := f.add()
+		h.sendHeartbeat("ready")
+		f.waitUntilAvailable(entry, h)
+		f.expectNoRun(entry, "last")
+	})
+
+	It("are stored once the store is back", func() {
+		f := newTestFleet()
+		f.publish(1)
+		entry := f.add()
+		for range 3 {
+			h := f.add()
+			h.sendHeartbeat("ready")
+			h.backend.InjectFaults(standin.FaultCrash)
+			f.waitUntilAvailable(entry, h)
+		}
+		f.store.SetDown(true)
+		for i := range 3 {
+			Expect(call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i)).status).To(Equal(http.StatusBadGateway))
+		}
+		Eventually(blocksDeadly(entry)).Should(BeTrue())
+		Expect(f.store.Value(crashesKey)).To(BeEmpty())
+		f.store.SetDown(false)
+		Eventually(func() []byte { return f.store.Value(crashesKey) }).ShouldNot(BeEmpty())
+		f.killAll()
+		Expect(blocksDeadly(entry)()).To(BeTrue())
+	})
+
+	It("are learned from another node while the store is down", func() {
+		f, entry := fleetAfterCrashes()
+		other := f.unharmed()
+		Eventually(blocksDeadly(other)).Should(BeTrue())
+		f.store.SetDown(true)
+		entry.sidecar.Kill()
+		entry.start()
+		Eventually(entry.sidecar.Ready).Should(BeTrue())
+		Expect(blocksDeadly(entry)()).To(BeTrue())
+	})
+
+	It("are as they were after an answer of the store is lost", func() {
+		f, entry := fleetAfterCrashes()
+		Eventually(blocksDeadly(entry)).Should(BeTrue())
+		f.store.DropAnswers(2)
+		f.killAll()
+		f.expectNoRun(entry, "last")
+	})
+
+	It("are written a few times for several crashes, and not without any", func() {
+		f, entry := fleetAfterCrashes()
+		Eventually(blocksDeadly(entry)).Should(BeTrue())
+		Eventually(func() []byte { return f.store.Value(crashesKey) }).ShouldNot(BeEmpty())
+		value := f.store.Value(crashesKey)
+		for range 20 {
+			f.expectNoRun(entry, "again")
+		}
+		Consistently(func() []byte { return f.store.Value(crashesKey) }, "1s").Should(Equal(value))
+	})
+
+	DescribeTable("are ignored where they cannot be read",
+		func(value string) {
+			f := newTestFleet()
+			f.store.Store(crashesKey, []byte(value))
+			f.publish(1)
+			a := f.add()
+			a.sendHeartbeat("ready")
+			Eventually(a.sidecar.Ready).Should(BeTrue())
+			f.waitUntilServedBy(a, "i-stock-1")
+		},
+		Entry("text", "{}"),
+		Entry("an array", "\x83\x01\x02\x03"),
+		Entry("nothing", ""),
+	)
+})
--- a/sidecar/error.go
+++ b/sidecar/error.go
@@ -7,7 +7,8 @@
 
 // The kinds of Error.
 const (
-	KindListen Kind = "listen"
+	KindListen    Kind = "listen"
+	KindMalformed Kind = "malformed"
 )
 
 // Error is the error type of this package.
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -55,6 +55,7 @@
 			"upstream_responses_discarded": float64(s.gate.Discarded()),
 			"upstream_connections_opened":  float64(s.gate.ConnectionsOpened()),
 			"upstream_cold":                cold,
+			"blocked_requests":             float64(s.blocklist.BlockedRequests()),
 			"upstream_nested_excess":       float64(load.NestedExcess),
 		} {
 			s.gauge(name, value)
--- a/sidecar/handlers.go
+++ b/sidecar/handlers.go
@@ -131,10 +131,10 @@
 }
 
 // Ready reports whether the node accepts requests: it has a configuration, has
-// read the fleet's entries or received another node's beacon, and is not
-// stopping.
+// read the fleet's entries and crash counts or joined nodes that know no more than it
+// does, and is not stopping.
 func (s *Sidecar) Ready() bool {
-	return s.table.Load() != nil && !s.stopping.Load() && (s.fleetRead.Load() || s.view.Len() > 1)
+	return s.table.Load() != nil && !s.stopping.Load() && (s.crashesKnown.Load() || s.settled.Load())
 }
 
 func (s *Sidecar) metricsHandler() http.Handler {
--- a/sidecar/joining.go
+++ b/sidecar/joining.go
@@ -138,6 +138,7 @@
 	others := roster[:0]
 	for _, b := range roster {
 		s.mergeAnnounced(b, peer.Beacon().Host)
+		s.joinCrashes(&b)
 		if b.Host == conf.Host() {
 			s.handleEcho(b)
 			continue
@@ -153,7 +154,16 @@
 
 // serveRoster answers the named node, which joins.
 func (s *Sidecar) serveRoster(host string, reply *http1.Reply) {
-	data, err := fleet.EncodeRoster(s.view.Roster(host))
+	roster := s.view.Roster(host)
+	if s.crashesKnown.Load() {
+		snapshot := s.blocklist.Snapshot()
+		for i := range roster {
+			if roster[i].Host == s.settings.Load().Host() {
+				roster[i].Crashes = &snapshot
+			}
+		}
+	}
+	data, err := fleet.EncodeRoster(roster)
 	if err != nil {
 		_ = level.Error(s.logger).Log("event", "roster-failed", "err", err)
 		_ = reply.Send(http.StatusInternalServerError, http.Header{}, nil)
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -90,7 +90,9 @@
 // updateRegistration reads the fleet's entries and renews or writes this node's own
 // if it is an anchor. It returns the pause until the next update.
 func (s *Sidecar) updateRegistration(lease *uint64) (time.Duration, error) {
-	if err := s.readFleet(lease, true); err != nil {
+	// A restarted node must not miss the crashes of the last seconds.
+	stale := s.settings.Load().FirstStart() || s.crashesKnown.Load()
+	if err := s.readFleet(lease, stale); err != nil {
 		return 0, err
 	}
 	if !s.joined() {
@@ -169,6 +171,10 @@
 		*lease = s.earlierLease(entries)
 	}
 	s.addEntries(entries)
+	s.crashesKnown.Store(true)
+	if s.blocklist.Unsaved(s.clock.Now()) {
+		s.notifyCrashesChanged()
+	}
 	return nil
 }
 
@@ -216,8 +222,7 @@
 		return err
 	}
 	entry := s.beacon()
-	// The store has the evacuations themselves, and crash counts would be out
-	// of date when the entry is read.
+	// The store has the evacuations and crash counts themselves.
 	entry.EvacuationRevision, entry.Evacuated = 0, nil
 	entry.Blocklist = nil
 	value, err := codec.Marshal(entry)
@@ -232,7 +237,7 @@
 	return nil
 }
 
-// addEntries adds the nodes and saturation estimates in the fleet's entries, and
+// addEntries adds the nodes, saturation estimates and crash counts in the fleet's entries, and
 // greets the nodes that are new.
 func (s *Sidecar) addEntries(entries []platform.Entry) {
 	now, added := s.clock.Now(), false
@@ -241,6 +246,10 @@
 			s.loadEstimate(service, entry)
 			continue
 		}
+		if entry.Key() == crashesKey {
+			s.restoreCrashes(entry)
+			continue
+		}
 		b, err := fleet.Decode(entry.Value())
 		if err == nil && entry.Key() != nodesPrefix+b.Host {
 			err = eris.Errorf("the entry is that of %q", b.Host)
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -68,9 +68,15 @@
 	if !write {
 		return
 	}
-	_ = level.Info(s.logger).Log("event", "request", "class", class, "request", o.ID, "route", o.Route, "organisation", o.Organisation,
+	fields := []any{
+		"event", "request", "class", class, "request", o.ID, "route", o.Route, "organisation", o.Organisation,
 		"service", o.Service, "revision", o.Revision, "status", o.Status, "outcome", o.Outcome, "reason", o.Reason,
 		"elapsed-ms", o.Elapsed.Milliseconds(), "arrivals", o.Attempts, "picks", o.Picks,
 		"retry-denied", o.RetryDenied, "parent-retried", o.ParentRetried,
-		"trail", telemetry.NewTrail(o.Trail), "omitted", omitted)
+		"trail", telemetry.NewTrail(o.Trail), "omitted", omitted,
+	}
+	if o.Reason == call.ReasonQuarantined {
+		fields = append(fields, "fingerprint", FormatFingerprint(o.Fingerprint))
+	}
+	_ = level.Info(s.logger).Log(fields...)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error)
 	Get(ctx context.Context, key string) (platform.Entry, error)
 	WatchOperators(ctx context.Context, last platform.Operators, wait time.Duration) (platform.Operators, error)
+	Put(ctx context.Context, key string, value []byte, version uint64) error
 	Set(ctx context.Context, key string, value []byte) error
 	PutWithLease(ctx context.Context, key string, value []byte, lease uint64) error
 	GrantLease(ctx context.Context, duration time.Duration) (uint64, error)
@@ -70,6 +71,9 @@
 	stopping         atomic.Bool
 	// fleetRead reports that the fleet's entries or a roster were read at least once.
 	fleetRead atomic.Bool
+	// crashesKnown reports that the crash counts were read, from the store or a node that
+	// had.
+	crashesKnown atomic.Bool
 	// joinWait is the time from the start for which this node waits to hear another
 	// one before it depends on the store alone, in nanoseconds.
 	joinWait atomic.Int64
@@ -94,6 +98,7 @@
 	stateChanged    chan struct{}
 	loadChanged     chan struct{}
 	estimateChanged chan struct{}
+	crashesChanged  chan struct{}
 	fetchRequests   chan fleet.Peer
 	tomb            tomb.Tomb
 	// gossipCursor counts the beacons sent in rotation to nodes that send no
@@ -152,11 +157,12 @@
 func New(conf *settings.Sidecar, options ...Option) (*Sidecar, error) {
 	s := &Sidecar{
 		clock: clock.System{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
-		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, organisationGauge: func(string, string, float64) {}, view: fleet.NewView(), blocklist: quarantine.NewBlocklist(),
-		stateChanged: make(chan struct{}, 1), loadChanged: make(chan struct{}, 1), estimateChanged: make(chan struct{}, 1),
+		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, organisationGauge: func(string, string, float64) {}, view: fleet.NewView(),
+		stateChanged: make(chan struct{}, 1), loadChanged: make(chan struct{}, 1), estimateChanged: make(chan struct{}, 1), crashesChanged: make(chan struct{}, 1),
 		fetchRequests: make(chan fleet.Peer, 1), nodeLines: rate.NewLimiter(nodeLinesPerSecond, nodeLinesBurst),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	s.blocklist = quarantine.NewBlocklist(quarantine.WithCrashNotify(s.notifyCrashesChanged))
 	for _, option := range options {
 		option(s)
 	}
@@ -293,6 +299,7 @@
 	s.tomb.Go(s.register)
 	s.tomb.Go(s.join)
 	s.tomb.Go(s.storeEstimates)
+	s.tomb.Go(s.storeCrashes)
 	s.tomb.Go(s.sendBeacons)
 	s.tomb.Go(s.receiveDatagrams)
 	s.tomb.Go(s.fetchConfigurations)
