egress: count a run whose upstream ends in the middle of the response

A request that crashes upstreams while they send its response was never blocked: the head of the response cleared its count, and the connection that broke after it was not looked at.

A run now counts as answered once its response was read to its end, and one whose response breaks off, unless the call was given up, as a run that broke: the gate then checks whether the upstream has ended, as it does when a connection breaks before the head.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -218,15 +218,22 @@
 		refused.notReceived = response.Status == http.StatusMisdirectedRequest
 		return refused
 	}
-	g.blocklist.Answered(g.clock.Now(), meta.Fingerprint)
 	g.recordOutcome(response.Status >= http.StatusInternalServerError)
 	return &Answer{
 		Meta: hop.AnswerMeta{Outcome: call.Answered, ReachedUpstream: true, NestedCalls: g.nestedCalls(run)}, Response: response, received: head,
 		Finish: func() {
+			// finish cancels ctx.
+			cancelled := ctx.Err() != nil
 			response.Release()
 			finish(response.Body.Complete())
-			if err := response.Body.Err(); err != nil {
+			switch err := response.Body.Err(); {
+			case response.Body.Complete():
+				g.blocklist.Answered(g.clock.Now(), meta.Fingerprint)
+			case err != nil:
 				g.logBrokenResponse(meta, response, err)
+				if !cancelled {
+					g.recordBrokenRun(meta.Fingerprint)
+				}
 			}
 		},
 	}
--- a/egress/crash_test.go
+++ b/egress/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,6 +15,7 @@
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/quarantine"
 	"github.com/banyancross/banyancross/route"
+	"github.com/banyancross/banyancross/standin"
 )
 
 var _ = Describe("a request whose connection breaks after its upstream was found to have ended", func() {
@@ -50,6 +52,57 @@
 	})
 })
 
+var _ = Describe("a request whose upstream ends in the middle of the response", func() {
+	It("counts as one that crashed the upstream", func() {
+		// Guards against a request that crashes upstreams without end, as the head of the response
+		// clears its count.
+		const fingerprint = 7
+		blocklist := quarantine.NewBlocklist()
+		for i := range 3 {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			running := make(chan net.Conn, 1)
+			go serveUntilClosed(listener, running)
+			t := table()
+			gate := egress.NewGate(listener.Addr().String(), func() *route.Table { return t }, egress.WithBlocklist(blocklist))
+			DeferCleanup(gate.Close)
+			Expect(gate.Heartbeat(heartbeat(listener.Addr().String(), "i-1", "ready", 1000, 1))).To(BeTrue())
+			Eventually(phase(gate)).Should(Equal(fleet.Ready))
+			m := meta(fmt.Sprint(i))
+			m.Idempotent, m.Fingerprint = false, fingerprint
+			go func() {
+				conn := <-running
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %d\r\nResponse-Stamp: s\r\nContent-Length: 9\r\n\r\nbody", i)
+				_ = listener.Close()
+				_ = conn.Close()
+			}()
+			Expect(blocklist.Blocked(fingerprint)).To(BeFalse())
+			do(gate, m)
+			Eventually(phase(gate)).Should(Equal(fleet.Absent))
+		}
+		Eventually(func() bool { return blocklist.Blocked(fingerprint) }).Should(BeTrue())
+	})
+
+	It("is still counted after a response that is cut off", func() {
+		const fingerprint = 7
+		blocklist := quarantine.NewBlocklist()
+		for range 2 {
+			blocklist.Crashed(time.Now(), []uint64{fingerprint})
+		}
+		backend := newBackend()
+		t := table()
+		gate := egress.NewGate(backend.Address(), func() *route.Table { return t }, egress.WithBlocklist(blocklist))
+		DeferCleanup(gate.Close)
+		ready(gate, backend)
+		backend.InjectFaults(standin.FaultTruncate)
+		m := meta("cut")
+		m.Fingerprint = fingerprint
+		do(gate, m)
+		blocklist.Crashed(time.Now(), []uint64{fingerprint})
+		Expect(blocklist.Blocked(fingerprint)).To(BeTrue())
+	})
+})
+
 // serveUntilClosed answers the health checks on the connections of a listener and closes
 // each of them afterwards. It passes on the connections of other requests, unanswered.
 func serveUntilClosed(listener net.Listener, running chan<- net.Conn) {
