egress: refuse a queued request that is blocked meanwhile

A request that was queued at a gate while it crashed its third upstream elsewhere ran all the same, and crashed one more: the gate looked at the blocklist before the queue only. It looks again before the run.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -81,9 +81,12 @@
 		answer.Meta.QueueTime = waited
 		return answer
 	}
-	// The upstream may have started to drain, or its failure domain may have been
-	// evacuated, while the call was queued.
-	if _, refused := g.checkUpstream(meta); refused != "" {
+	// The upstream may have started to drain, its failure domain may have been evacuated, or
+	// the request may have been blocked, while the call was queued.
+	if _, refused = g.checkUpstream(meta); refused == "" && g.blocklist.Blocked(meta.Fingerprint) {
+		refused = call.ReasonQuarantined
+	}
+	if refused != "" {
 		pass.End(g.clock.Now(), false)
 		g.returnRoom(place)
 		return Refusal(call.NotRun, refused)
--- a/egress/crash_test.go
+++ b/egress/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/banyancross/banyancross/call"
 	"github.com/banyancross/banyancross/egress"
 	"github.com/banyancross/banyancross/fleet"
+	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/quarantine"
 	"github.com/banyancross/banyancross/route"
 	"github.com/banyancross/banyancross/standin"
@@ -103,6 +104,39 @@
 	})
 })
 
+var _ = Describe("a request that is blocked while it is queued", func() {
+	It("does not run", func() {
+		const fingerprint = 7
+		blocklist := quarantine.NewBlocklist()
+		backend := newBackend()
+		t := table()
+		gate := egress.NewGate(backend.Address(), func() *route.Table { return t }, egress.WithBlocklist(blocklist))
+		DeferCleanup(gate.Close)
+		ready(gate, backend)
+		release := backend.Hold()
+		for i := range 2 {
+			go do(gate, meta(fmt.Sprintf("slot-%d", i)))
+			Eventually(gate.Running).Should(Equal(i + 1))
+		}
+		queued := make(chan hop.AnswerMeta, 1)
+		m := meta("queued")
+		m.Fingerprint, m.MaxWait = fingerprint, 10*time.Second
+		go func() { queued <- do(gate, m) }()
+		Eventually(func() int { return int(gate.Load().Waiting) }).Should(Equal(1))
+		for range 3 {
+			blocklist.Crashed(time.Now(), []uint64{fingerprint})
+		}
+		release()
+		var answer hop.AnswerMeta
+		Eventually(queued).Should(Receive(&answer))
+		Expect(answer.Outcome).To(Equal(call.NotRun))
+		Expect(answer.Reason).To(Equal(call.ReasonQuarantined))
+		for _, run := range backend.Runs() {
+			Expect(run.ID).NotTo(Equal("queued"))
+		}
+	})
+})
+
 // serveUntilClosed answers the health checks on the connections of a listener and closes
 // each of them afterwards. It passes on the connections of other requests, unanswered.
 func serveUntilClosed(listener net.Listener, running chan<- net.Conn) {
