quarantine: let a blocked request prove itself twice

A sound request that ran at three upstreams when all of them ended at once would be refused until an operator noticed: it is never sent, so that no answer clears it.

A gate lets a blocked request run once between one and five minutes after its latest change, a pause that each node draws for itself, so that others hear of one trial before their own. A trial counts as a crash until it is answered, in memory and in the store. So there are two, and one for a request that crashes its upstream again, where the rule allows three further runs.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -36,7 +36,7 @@
 
 func (g *Gate) do(ctx context.Context, meta hop.Meta, c *Call) *Answer {
 	now := g.clock.Now()
-	if g.blocklist.Blocked(meta.Fingerprint) {
+	if g.blocklist.Refuses(now, meta.Fingerprint) {
 		return Refusal(call.NotRun, call.ReasonQuarantined)
 	}
 	t, refused := g.checkUpstream(meta)
@@ -83,7 +83,7 @@
 	}
 	// The upstream may have started to drain, its failure domain may have been evacuated, or
 	// the request may have been blocked, while the call was queued.
-	if _, refused = g.checkUpstream(meta); refused == "" && g.blocklist.Blocked(meta.Fingerprint) {
+	if _, refused = g.checkUpstream(meta); refused == "" && !g.blocklist.Admit(g.clock.Now(), meta.Fingerprint) {
 		refused = call.ReasonQuarantined
 	}
 	if refused != "" {
--- a/egress/crash_test.go
+++ b/egress/crash_test.go
@@ -137,6 +137,31 @@
 	})
 })
 
+var _ = Describe("a blocked request", func() {
+	It("runs at an upstream for a trial, whose answer clears it", func() {
+		const fingerprint = 7
+		blocklist := quarantine.NewBlocklist()
+		for range 3 {
+			blocklist.Crashed(time.Now(), []uint64{fingerprint})
+		}
+		backend := newBackend()
+		t := table()
+		now := &shiftedClock{}
+		gate := egress.NewGate(backend.Address(), func() *route.Table { return t }, egress.WithBlocklist(blocklist), egress.WithClock(now))
+		DeferCleanup(gate.Close)
+		ready(gate, backend)
+		m := meta("blocked")
+		m.Fingerprint = fingerprint
+		Expect(do(gate, m).Reason).To(Equal(call.ReasonQuarantined))
+		now.shift.Add(int64(10 * time.Minute))
+		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "ready", 1000, 2))).To(BeTrue())
+		Eventually(phase(gate)).Should(Equal(fleet.Ready))
+		m.ID = "trial"
+		Expect(do(gate, m).Outcome).To(Equal(call.Answered))
+		Expect(blocklist.Blocked(fingerprint)).To(BeFalse())
+	})
+})
+
 // serveUntilClosed answers the health checks on the connections of a listener and closes
 // each of them afterwards. It passes on the connections of other requests, unanswered.
 func serveUntilClosed(listener net.Listener, running chan<- net.Conn) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -266,7 +266,7 @@
 		return
 	}
 	s.fingerprint = Fingerprint(r)
-	if in.blocklist.Blocked(s.fingerprint) {
+	if in.blocklist.Refuses(s.received, s.fingerprint) {
 		s.refuse(call.ReasonQuarantined)
 		return
 	}
--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -15,6 +15,15 @@
 	// blockThreshold is the number of crashes that blocks a request: the
 	// operators' bound on its retries.
 	blockThreshold = 3
+	// maxTrials bounds the runs of a blocked request that may clear it, so that an innocent
+	// request that ran at each of three crashes is served again. Each counts as a crash until
+	// it is answered.
+	maxTrials = 2
+	// minTrialPause and trialPauseSpread determine the pause between the latest change of a
+	// blocked request and a trial. It differs between nodes, so that others learn of the
+	// trial of one before their own.
+	minTrialPause    = time.Minute
+	trialPauseSpread = 4 * time.Minute
 	// announceTime is how long nodes tell each other a crash, a block or an answer. Nodes
 	// that miss it learn of it from the stored counts.
 	announceTime = time.Minute
@@ -60,7 +69,7 @@
 
 // Blocklist counts, over all nodes, the upstreams that ended while they ran a
 // request, and blocks it at blockThreshold until it is answered, however long that
-// takes. Unlike Quarantine it does not run suspects alone, so that an upstream that
+// takes. maxTrials runs may bring that answer. Unlike Quarantine it does not run suspects alone, so that an upstream that
 // ended for another reason does not delay the requests that it ran; one answer clears a
 // request. It is safe for concurrent use.
 //
@@ -96,11 +105,30 @@
 	// changedAt is the time of the latest change, and ownChangeAt that of the latest crash
 	// or answer at this node.
 	changedAt, ownChangeAt time.Time
+	// trialAt is the time from which this node admits a trial.
+	trialAt time.Time
 }
 
 // sourceCount holds the counts of SourceCount.
 type sourceCount struct{ crashes, answered uint32 }
 
+// change sets the time of the latest change.
+func (c *crashState) change(now time.Time) {
+	c.changedAt = now
+	c.trialAt = now.Add(minTrialPause + rand.N(trialPauseSpread))
+}
+
+// changeHere is change for a crash, a trial or an answer at this node.
+func (c *crashState) changeHere(now time.Time) {
+	c.change(now)
+	c.ownChangeAt = now
+}
+
+// trialDue reports whether the blocked request may run once.
+func (c *crashState) trialDue(now time.Time) bool {
+	return c.crashes() < blockThreshold+maxTrials && !now.Before(c.trialAt)
+}
+
 // crashes returns how many crashes no answer has followed.
 func (c *crashState) crashes() uint64 {
 	total := uint64(0)
@@ -153,7 +181,8 @@
 		count := c.counts[b.source]
 		count.crashes++
 		c.counts[b.source] = count
-		c.answered, c.changedAt, c.ownChangeAt = false, now, now
+		c.answered = false
+		c.changeHere(now)
 	}
 	b.evict()
 	b.mu.Unlock()
@@ -192,7 +221,8 @@
 	defer b.mu.Unlock()
 	if c := b.requests[fingerprint]; c != nil && c.crashes() > 0 {
 		c.clear()
-		c.answered, c.changedAt, c.ownChangeAt = true, now, now
+		c.answered = true
+		c.changeHere(now)
 	}
 }
 
@@ -204,6 +234,38 @@
 	return c != nil && c.blocked()
 }
 
+// Refuses reports whether the request must not run now.
+func (b *Blocklist) Refuses(now time.Time, fingerprint uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.requests[fingerprint]
+	return c != nil && c.blocked() && !c.trialDue(now)
+}
+
+// Admit reports whether the request may run, and records a trial if it is blocked. It is to
+// be called right before a run.
+func (b *Blocklist) Admit(now time.Time, fingerprint uint64) bool {
+	b.mu.Lock()
+	c := b.requests[fingerprint]
+	if c == nil || !c.blocked() {
+		b.mu.Unlock()
+		return true
+	}
+	due := c.trialDue(now)
+	if due {
+		count := c.counts[b.source]
+		count.crashes++
+		c.counts[b.source] = count
+		c.answered = false
+		c.changeHere(now)
+	}
+	b.mu.Unlock()
+	if due {
+		b.notify()
+	}
+	return due
+}
+
 // BlockedRequests returns how many requests must not run.
 func (b *Blocklist) BlockedRequests() int {
 	b.mu.Lock()
@@ -279,7 +341,7 @@
 		c := b.request(record.Fingerprint)
 		for _, count := range record.Counts {
 			if c.raise(count.Source, sourceCount{crashes: count.Crashes, answered: count.Answered}) {
-				c.changedAt = now
+				c.change(now)
 			}
 		}
 	}
@@ -291,13 +353,13 @@
 	if known := b.requests[record.Fingerprint]; record.Answered {
 		if known != nil && known.crashes() > 0 {
 			known.clear()
-			known.changedAt = now
+			known.change(now)
 		}
 		return
 	}
 	source := uint32(xxhash.Sum64String(host)) ^ uint32(incarnation)
 	c := b.request(record.Fingerprint)
 	if c.raise(source, sourceCount{crashes: record.Crashes}) {
-		c.changedAt = now
+		c.change(now)
 	}
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -7,7 +7,7 @@
 // runs alone, that request is quarantined; if it is answered, it is cleared.
 // Suspects and quarantined requests are broadcast to all nodes and expire.
 //
-// A Blocklist counts crashes instead and blocks a request at the third, until an answer.
-// Nodes tell each other what they know, and a Snapshot of it is stored, so that it outlives
-// all of them.
+// A Blocklist counts crashes instead and blocks a request at the third, until an answer,
+// for which a blocked request gets two trials. Nodes tell each other what they know, and a
+// Snapshot of it is stored, so that it outlives all of them.
 package quarantine
--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -79,7 +79,7 @@
 		}
 		for source, count := range c.saved {
 			if c.raise(source, sourceCount{answered: count.crashes}) {
-				c.changedAt = now
+				c.change(now)
 			}
 		}
 		c.saved = nil
@@ -88,7 +88,7 @@
 		c := b.request(fingerprint)
 		for source, count := range counts {
 			if c.raise(source, count) {
-				c.changedAt = now
+				c.change(now)
 			}
 		}
 		c.saved = counts
