--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -9,7 +9,6 @@
 	"github.com/banyancross/banyancross/codec"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/platform"
-	"github.com/banyancross/banyancross/quarantine"
 )
 
 const (
@@ -78,8 +77,8 @@
 	if entry.Version() == 0 {
 		return
 	}
-	var snapshot quarantine.Snapshot
-	if err := codec.Unmarshal(entry.Value(), &snapshot); err != nil {
+	snapshot, err := decodeCrashes(entry)
+	if err != nil {
 		_ = level.Warn(s.logger).Log("event", "entry-skipped", "key", crashesKey, "err", err)
 		return
 	}
--- a/sidecar/lifting.go
+++ b/sidecar/lifting.go
@@ -34,11 +34,16 @@
 	if err != nil || entry.Version() == 0 {
 		return quarantine.Snapshot{}, 0, err
 	}
+	snapshot, err := decodeCrashes(entry)
+	return snapshot, entry.Version(), err
+}
+
+func decodeCrashes(entry platform.Entry) (quarantine.Snapshot, error) {
 	var snapshot quarantine.Snapshot
 	if err := codec.Unmarshal(entry.Value(), &snapshot); err != nil {
-		return quarantine.Snapshot{}, 0, &Error{op: "read crash counts", kind: KindMalformed, err: err}
+		return quarantine.Snapshot{}, &Error{op: "read crash counts", kind: KindMalformed, err: err}
 	}
-	return snapshot, entry.Version(), nil
+	return snapshot, nil
 }
 
 // RemoveCrashes removes the stored crash counts of a request, so that all nodes clear it
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -257,6 +257,16 @@
 	return runs
 }
 
+// addCrashing starts a host whose upstream crashes when it runs a request, and waits until
+// entry knows it.
+func (f *testFleet) addCrashing(entry *host) {
+	GinkgoHelper()
+	h := f.add()
+	h.sendHeartbeat("ready")
+	h.backend.InjectFaults(standin.FaultCrash)
+	f.waitUntilAvailable(entry, h)
+}
+
 // fleetAfterCrashes returns a fleet in which one request, sent to entry, has crashed three of
 // four upstreams.
 func fleetAfterCrashes() (f *testFleet, entry *host) {
@@ -265,10 +275,7 @@
 	f.publish(1)
 	entry = f.add()
 	for range 4 {
-		h := f.add()
-		h.sendHeartbeat("ready")
-		h.backend.InjectFaults(standin.FaultCrash)
-		f.waitUntilAvailable(entry, h)
+		f.addCrashing(entry)
 	}
 	for i := range 3 {
 		r := call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i))
