quarantine: count crashes of a forgotten request at another source

Found when the change was read again: a request that was dropped for want of room lost its own count, so that a later crash began at 1 again, which other nodes took for one that was answered long ago. Three later crashes blocked it nowhere else. Later crashes are counted at a new source. The spec failed before. Earlier versions are told of an answer only if no crash has followed it.

--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -69,17 +69,18 @@
 
 // Blocklist counts, over all nodes, the upstreams that ended while they ran a
 // request, and blocks it at blockThreshold until it is answered, however long that
-// takes. maxTrials runs may bring that answer. Unlike Quarantine it does not run suspects alone, so that an upstream that
-// ended for another reason does not delay the requests that it ran; one answer clears a
-// request. It is safe for concurrent use.
+// takes. maxTrials runs may bring that answer. Unlike Quarantine it does not run suspects
+// alone, so that an upstream that ended for another reason does not delay the requests that
+// it ran; one answer clears a request. It is safe for concurrent use.
 //
 // The counts at each source only grow, and so do those that were followed by an answer. So
 // nodes can learn them in any order, any number of times, and from each other or the store.
 type Blocklist struct {
-	source uint32
 	notify func()
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// source is that of the crashes counted here from now on.
+	source   uint32
 	requests map[uint64]*crashState
 	// version is the version of the latest stored counts that were read.
 	version uint64
@@ -202,7 +203,8 @@
 }
 
 // evict deletes requests if there are more than maxEntries, blocked ones last and others by
-// their age; b.mu must be held.
+// their age. Other nodes may still know their counts here, so later crashes are counted at
+// another source; b.mu must be held.
 func (b *Blocklist) evict() {
 	if len(b.requests) <= maxEntries {
 		return
@@ -213,6 +215,7 @@
 	for _, fingerprint := range order[maxEntries*7/8:] {
 		delete(b.requests, fingerprint)
 	}
+	b.source = rand.Uint32()
 }
 
 // Answered records that an upstream answered the request, which clears it.
@@ -297,7 +300,7 @@
 		c := b.requests[fingerprint]
 		record := c.record(fingerprint)
 		own := c.counts[b.source]
-		record.Crashes, record.Answered = own.crashes-own.answered, c.answered
+		record.Crashes, record.Answered = own.crashes-own.answered, c.answered && c.crashes() == 0
 		records = append(records, record)
 	}
 	return records
--- a/quarantine/blocklist_test.go
+++ b/quarantine/blocklist_test.go
@@ -79,6 +79,23 @@
 		Expect(a.Blocked(1)).To(BeTrue())
 	})
 
+	It("counts a crash of a request that was forgotten for want of room", func() {
+		// Guards against a later crash that other nodes take for one that was answered.
+		a, b := quarantine.NewBlocklist(), quarantine.NewBlocklist()
+		a.Crashed(at, []uint64{1})
+		a.Answered(at, 1)
+		b.Merge(at, "a", 1, a.RecentRecords(at))
+		for i := range uint64(5_000) {
+			a.Crashed(at.Add(time.Second), []uint64{i + 2})
+		}
+		later := at.Add(time.Hour)
+		for range 3 {
+			a.Crashed(later, []uint64{1})
+		}
+		b.Merge(later, "a", 1, a.RecentRecords(later))
+		Expect(b.Blocked(1)).To(BeTrue())
+	})
+
 	It("is told to nodes that restart one after the other", func() {
 		nodes := map[string]*quarantine.Blocklist{}
 		for _, host := range []string{"a", "b", "c"} {
