quarantine: let one node remove an answered request from the store

Each node that heard of an answer read the key when it next listed the entries, until the removal was in the stale list: some tens of calls an answer in a large fleet, by the code. Now the node that got the answer does, and others after a minute.

--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -12,9 +12,11 @@
 	// Snapshot.
 	maxSavedBlocks = 512
 	maxSavedCounts = 512
-	// unsavedGrace is the time within which the node that counted a crash stores it. Later
-	// any other node does.
+	// unsavedGrace and answerGrace are the times within which the node that counted a crash
+	// stores it, and the node that got an answer removes the request. Later any other node
+	// does.
 	unsavedGrace = 10 * time.Second
+	answerGrace  = time.Minute
 )
 
 // Snapshot holds what all nodes know of the requests that have crashed upstreams, so that
@@ -96,14 +98,16 @@
 	b.evict()
 }
 
-// Unsaved reports whether the store lacks what another node should have stored meanwhile,
-// or has a request that was answered.
+// Unsaved reports whether the store has a request that was answered here, or lacks what
+// another node should have stored meanwhile.
 func (b *Blocklist) Unsaved(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.requests {
-		if c.crashes() == 0 && c.saved != nil ||
-			c.crashes() > 0 && !maps.Equal(c.counts, c.saved) && now.Sub(c.changedAt) > unsavedGrace {
+		sinceChange := now.Sub(c.changedAt)
+		answered := c.crashes() == 0 && c.saved != nil && (c.answered || sinceChange > answerGrace)
+		lacking := c.crashes() > 0 && !maps.Equal(c.counts, c.saved) && sinceChange > unsavedGrace
+		if answered || lacking {
 			return true
 		}
 	}
--- a/quarantine/snapshot_test.go
+++ b/quarantine/snapshot_test.go
@@ -43,19 +43,24 @@
 	BeforeEach(func() { store = &storedCounts{} })
 
 	It("end at all nodes with an answer, also at those that were not told", func() {
-		a, b := store.start(at), store.start(at)
+		a, b, c := store.start(at), store.start(at), store.start(at)
 		for range 3 {
 			a.Crashed(at, []uint64{1})
 		}
 		store.write(at, a)
 		store.read(at, b)
+		store.read(at, c)
 		a.Answered(at.Add(time.Second), 1)
 		Expect(a.Unsaved(at.Add(time.Second))).To(BeTrue())
+		b.Merge(at.Add(time.Second), "a", 1, a.RecentRecords(at.Add(time.Second)))
+		// One node writes, and not each that hears of the answer.
+		Expect(b.Unsaved(at.Add(time.Second))).To(BeFalse())
+		Expect(b.Unsaved(at.Add(2 * time.Minute))).To(BeTrue())
 		store.write(at.Add(time.Second), a)
 		Expect(a.Unsaved(at.Add(time.Second))).To(BeFalse())
-		Expect(b.Blocked(1)).To(BeTrue())
-		store.read(at.Add(2*time.Second), b)
-		Expect(b.Blocked(1)).To(BeFalse())
+		Expect(c.Blocked(1)).To(BeTrue())
+		store.read(at.Add(2*time.Second), c)
+		Expect(c.Blocked(1)).To(BeFalse())
 		Expect(store.start(at).Blocked(1)).To(BeFalse())
 	})
 
