--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -12,18 +11,6 @@
 )
 
 const (
-	// blockThreshold is the number of crashes that blocks a request: the
-	// operators' bound on its retries.
-	blockThreshold = 3
-	// maxTrials bounds the runs of a blocked request that may clear it, so that an innocent
-	// request that ran at each of three crashes is served again. Each counts as a crash until
-	// it is answered.
-	maxTrials = 2
-	// minTrialPause and trialPauseSpread determine the pause between the latest change of a
-	// blocked request and a trial. It differs between nodes, so that others learn of the
-	// trial of one before their own.
-	minTrialPause    = time.Minute
-	trialPauseSpread = 4 * time.Minute
 	// announceTime is how long nodes tell each other a crash, a block or an answer. Nodes
 	// that miss it learn of it from the stored counts.
 	announceTime = time.Minute
@@ -31,42 +18,6 @@
 	maxRecords = 24
 )
 
-// Record is what a node knows of a request that has crashed upstreams, as other nodes and
-// the store receive it.
-type Record struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	// Crashes counts the crashes at the sender, and Answered is set if an upstream has
-	// answered the request there since. Earlier versions read these alone.
-	Crashes  uint32 `cbor:"2,keyasint,omitempty"`
-	Answered bool   `cbor:"3,keyasint,omitempty"`
-	// Earlier versions use key 4 for another value.
-
-	// Counts are sorted by source; empty from earlier versions.
-	Counts []SourceCount `cbor:"5,keyasint,omitempty"`
-}
-
-// SourceCount counts the crashes of a request at one source.
-type SourceCount struct {
-	_ struct{} `cbor:",toarray"`
-	// Source identifies a start of a node.
-	Source  uint32
-	Crashes uint32
-	// Answered is how many of the crashes were followed by an answer.
-	Answered uint32
-}
-
-// Unanswered returns how many crashes no answer has followed.
-func (r Record) Unanswered() uint64 {
-	total := uint64(0)
-	for _, count := range r.Counts {
-		total += uint64(max(count.Crashes, count.Answered) - count.Answered)
-	}
-	return total
-}
-
-// Blocked reports whether the request must not run.
-func (r Record) Blocked() bool { return r.Unanswered() >= blockThreshold }
-
 // Blocklist counts, over all nodes, the upstreams that ended while they ran a
 // request, and blocks it at blockThreshold until it is answered, however long that
 // takes. maxTrials runs may bring that answer. Unlike Quarantine it does not run suspects
@@ -94,73 +45,6 @@
 	return func(b *Blocklist) { b.notify = notify }
 }
 
-// crashState is what a node knows of one request.
-type crashState struct {
-	// counts are by source.
-	counts map[uint32]sourceCount
-	// saved holds the counts that the store had when it was read or written last, nil if it
-	// did not have the request.
-	saved map[uint32]sourceCount
-	// answered means that the latest answer came to this node.
-	answered bool
-	// changedAt is the time of the latest change, and ownChangeAt that of the latest crash
-	// or answer at this node.
-	changedAt, ownChangeAt time.Time
-	// trialAt is the time from which this node admits a trial.
-	trialAt time.Time
-}
-
-// sourceCount holds the counts of SourceCount.
-type sourceCount struct{ crashes, answered uint32 }
-
-// change sets the time of the latest change.
-func (c *crashState) change(now time.Time) {
-	c.changedAt = now
-	c.trialAt = now.Add(minTrialPause + rand.N(trialPauseSpread))
-}
-
-// changeHere is change for a crash, a trial or an answer at this node.
-func (c *crashState) changeHere(now time.Time) {
-	c.change(now)
-	c.ownChangeAt = now
-}
-
-// trialDue reports whether the blocked request may run once.
-func (c *crashState) trialDue(now time.Time) bool {
-	return c.crashes() < blockThreshold+maxTrials && !now.Before(c.trialAt)
-}
-
-// crashes returns how many crashes no answer has followed.
-func (c *crashState) crashes() uint64 {
-	total := uint64(0)
-	for _, count := range c.counts {
-		total += uint64(count.crashes - count.answered)
-	}
-	return total
-}
-
-// blocked reports whether the request must not run.
-func (c *crashState) blocked() bool { return c.crashes() >= blockThreshold }
-
-// raise raises the counts of a source to those given, and reports whether they were lower.
-func (c *crashState) raise(source uint32, count sourceCount) bool {
-	known := c.counts[source]
-	raised := sourceCount{crashes: max(known.crashes, count.crashes), answered: max(known.answered, count.answered)}
-	raised.crashes = max(raised.crashes, raised.answered)
-	if raised == known {
-		return false
-	}
-	c.counts[source] = raised
-	return true
-}
-
-// clear records that an answer has followed all known crashes.
-func (c *crashState) clear() {
-	for source, count := range c.counts {
-		c.counts[source] = sourceCount{crashes: count.crashes, answered: count.crashes}
-	}
-}
-
 // NewBlocklist returns an empty Blocklist.
 func NewBlocklist(options ...BlocklistOption) *Blocklist {
 	b := &Blocklist{source: rand.Uint32(), notify: func() {}, requests: map[uint64]*crashState{}}
@@ -306,16 +190,6 @@
 	return records
 }
 
-// record returns the record of a request without what only earlier versions read.
-func (c *crashState) record(fingerprint uint64) Record {
-	r := Record{Fingerprint: fingerprint, Counts: make([]SourceCount, 0, len(c.counts))}
-	for _, source := range slices.Sorted(maps.Keys(c.counts)) {
-		count := c.counts[source]
-		r.Counts = append(r.Counts, SourceCount{Source: source, Crashes: count.crashes, Answered: count.answered})
-	}
-	return r
-}
-
 // latest returns the requests that a condition selects, the latest changed first; b.mu must
 // be held.
 func (b *Blocklist) latest(selects func(*crashState) bool) []uint64 {
