--- a/ingress/doc.go
+++ b/ingress/doc.go
@@ -11,5 +11,6 @@
 // on.
 //
 // A request that cannot be served is answered without delay: with 503 and a
-// Retry-After header if it has not run, with 502 or 504 if it may have.
+// Retry-After header if it has not run, with 502 or 504 if it may have. A response of an
+// upstream that ran the request and says with its status that it did not is withheld.
 package ingress
