quarantine: one place that counts here, raises and changes

A crash and a trial counted at this node in the same five lines, each raise of a count was followed by the same change, and the requests that are counted and not blocked were selected by the same function twice. countHere, raise and counted serve all of them. The comment in sidecar says whose records are counted by incarnation.

--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -63,11 +63,7 @@
 			// No node announces the other counts any more.
 			maps.DeleteFunc(c.counts, func(source uint32, _ sourceCount) bool { return source != b.source })
 		}
-		count := c.counts[b.source]
-		count.crashes++
-		c.counts[b.source] = count
-		c.answered = false
-		c.changeHere(now)
+		c.countHere(now, b.source)
 	}
 	b.evict()
 	b.mu.Unlock()
@@ -94,7 +90,7 @@
 		return
 	}
 	order := b.latest((*crashState).blocked)
-	order = append(order, b.latest(func(c *crashState) bool { return c.crashes() > 0 && !c.blocked() })...)
+	order = append(order, b.latest((*crashState).counted)...)
 	order = append(order, b.latest(func(c *crashState) bool { return c.crashes() == 0 })...)
 	for _, fingerprint := range order[maxEntries*7/8:] {
 		delete(b.requests, fingerprint)
@@ -140,11 +136,7 @@
 	}
 	due := c.trialDue(now)
 	if due {
-		count := c.counts[b.source]
-		count.crashes++
-		c.counts[b.source] = count
-		c.answered = false
-		c.changeHere(now)
+		c.countHere(now, b.source)
 	}
 	b.mu.Unlock()
 	if due {
@@ -217,9 +209,7 @@
 		}
 		c := b.request(record.Fingerprint)
 		for _, count := range record.Counts {
-			if c.raise(count.Source, sourceCount{crashes: count.Crashes, answered: count.Answered}) {
-				c.change(now)
-			}
+			c.raise(now, count.Source, sourceCount{crashes: count.Crashes, answered: count.Answered})
 		}
 	}
 	b.evict()
@@ -235,8 +225,5 @@
 		return
 	}
 	source := uint32(xxhash.Sum64String(host)) ^ uint32(incarnation)
-	c := b.request(record.Fingerprint)
-	if c.raise(source, sourceCount{crashes: record.Crashes}) {
-		c.change(now)
-	}
+	b.request(record.Fingerprint).raise(now, source, sourceCount{crashes: record.Crashes})
 }
--- a/quarantine/crashstate.go
+++ b/quarantine/crashstate.go
@@ -51,6 +51,15 @@
 	c.ownChangeAt = now
 }
 
+// countHere counts a crash or a trial at this node.
+func (c *crashState) countHere(now time.Time, source uint32) {
+	count := c.counts[source]
+	count.crashes++
+	c.counts[source] = count
+	c.answered = false
+	c.changeHere(now)
+}
+
 // trialDue reports whether the blocked request may run once.
 func (c *crashState) trialDue(now time.Time) bool {
 	return c.crashes() < blockThreshold+maxTrials && !now.Before(c.trialAt)
@@ -68,16 +77,18 @@
 // blocked reports whether the request must not run.
 func (c *crashState) blocked() bool { return c.crashes() >= blockThreshold }
 
-// raise raises the counts of a source to those given, and reports whether they were lower.
-func (c *crashState) raise(source uint32, count sourceCount) bool {
+// counted reports whether there are crashes, and too few to block the request.
+func (c *crashState) counted() bool { return c.crashes() > 0 && !c.blocked() }
+
+// raise raises the counts of a source to those given, unless they are as high.
+func (c *crashState) raise(now time.Time, source uint32, count sourceCount) {
 	known := c.counts[source]
 	raised := sourceCount{crashes: max(known.crashes, count.crashes), answered: max(known.answered, count.answered)}
 	raised.crashes = max(raised.crashes, raised.answered)
-	if raised == known {
-		return false
+	if raised != known {
+		c.counts[source] = raised
+		c.change(now)
 	}
-	c.counts[source] = raised
-	return true
 }
 
 // clear records that an answer has followed all known crashes.
--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -45,7 +45,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	blocked := b.latest((*crashState).blocked)
-	counted := b.latest(func(c *crashState) bool { return c.crashes() > 0 && !c.blocked() })
+	counted := b.latest((*crashState).counted)
 	var s Snapshot
 	for _, fingerprint := range slices.Concat(blocked[:min(len(blocked), maxSavedBlocks)], counted[:min(len(counted), maxSavedCounts)]) {
 		s.Requests = append(s.Requests, b.requests[fingerprint].record(fingerprint))
@@ -80,18 +80,14 @@
 			continue
 		}
 		for source, count := range c.saved {
-			if c.raise(source, sourceCount{answered: count.crashes}) {
-				c.change(now)
-			}
+			c.raise(now, source, sourceCount{answered: count.crashes})
 		}
 		c.saved = nil
 	}
 	for fingerprint, counts := range stored {
 		c := b.request(fingerprint)
 		for source, count := range counts {
-			if c.raise(source, count) {
-				c.change(now)
-			}
+			c.raise(now, source, count)
 		}
 		c.saved = counts
 	}
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -352,7 +352,8 @@
 	change := s.view.Merge(s.clock.Now(), b)
 	s.ingress.UpdateLoad(&b)
 	if change.Later == nil {
-		// The sender raises its incarnation otherwise, and would be counted twice.
+		// The sender raises its incarnation otherwise, and the records of an earlier version,
+		// which are counted by incarnation, would be counted twice.
 		s.blocklist.Merge(s.clock.Now(), b.Host, b.Incarnation, b.Blocklist)
 	}
 	if change.Changed || change.WasSilent {
