--- a/egress/runlog_test.go
+++ b/egress/runlog_test.go
@@ -40,6 +40,26 @@
 	})
 }
 
+// answerCalls starts an upstream that answers health checks, and each call with what
+// answer returns for its ID, also on the same connection. It returns its address.
+func answerCalls(answer func(id string) string) string {
+	GinkgoHelper()
+	return listen(func(conn net.Conn) {
+		br := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			text := "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
+			if r.URL.Path != "/healthz" {
+				text = answer(r.Header.Get("Request-Id"))
+			}
+			_, _ = io.WriteString(conn, text)
+		}
+	})
+}
+
 // listen serves connections until the end of the spec, closes each when serve returns,
 // and returns the address.
 func listen(serve func(net.Conn)) string {
@@ -91,21 +111,11 @@
 		var mu sync.Mutex
 		calls := []string{rejectionOf("a")}
 		calls = append(calls, second...)
-		address := listen(func(conn net.Conn) {
-			br := bufio.NewReader(conn)
-			for {
-				r, err := http.ReadRequest(br)
-				if err != nil {
-					return
-				}
-				text := "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
-				if r.URL.Path != "/healthz" {
-					mu.Lock()
-					text, calls = calls[0], calls[1:]
-					mu.Unlock()
-				}
-				_, _ = io.WriteString(conn, text)
-			}
+		address := answerCalls(func(string) (text string) {
+			mu.Lock()
+			defer mu.Unlock()
+			text, calls = calls[0], calls[1:]
+			return text
 		})
 		gate, logs := loggingGate(address)
 		for _, id := range []string{"a", "b", "c"} {
@@ -166,20 +176,7 @@
 
 	It("limits the lines about discarded responses, and counts all", func() {
 		const surplus = 100
-		address := listen(func(conn net.Conn) {
-			br := bufio.NewReader(conn)
-			for {
-				r, err := http.ReadRequest(br)
-				if err != nil {
-					return
-				}
-				text := "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
-				if r.URL.Path != "/healthz" {
-					text = rejectionOf("z") + responseTo(r.Header.Get("Request-Id"))
-				}
-				_, _ = io.WriteString(conn, text)
-			}
-		})
+		address := answerCalls(func(id string) string { return rejectionOf("z") + responseTo(id) })
 		gate, logs := loggingGate(address)
 		began := time.Now()
 		for i := range surplus {
--- a/sidecar/crashes_test.go
+++ b/sidecar/crashes_test.go
@@ -10,6 +10,9 @@
 
 const crashesKey = "banyancross/crashes"
 
+// storedCrashes returns the stored crash counts, nil if there are none.
+func (f *testFleet) storedCrashes() []byte { return f.store.Value(crashesKey) }
+
 // killAll kills all nodes at once, starts them again and waits until they are ready.
 func (f *testFleet) killAll() {
 	GinkgoHelper()
@@ -53,7 +56,7 @@
 		// Guards against a blocked request that crashes upstreams again once no node remembers it.
 		f, entry := fleetAfterCrashes()
 		Eventually(blocksDeadly(entry)).Should(BeTrue())
-		Eventually(func() []byte { return f.store.Value(crashesKey) }).ShouldNot(BeEmpty())
+		Eventually(f.storedCrashes).ShouldNot(BeEmpty())
 		last := f.unharmed()
 		for range 2 {
 			f.killAll()
@@ -73,9 +76,9 @@
 		entry := f.add()
 		for i := range 3 {
 			f.addCrashing(entry)
-			before := f.store.Value(crashesKey)
+			before := f.storedCrashes()
 			Expect(call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i)).status).To(Equal(http.StatusBadGateway))
-			Eventually(func() []byte { return f.store.Value(crashesKey) }).ShouldNot(Equal(before))
+			Eventually(f.storedCrashes).ShouldNot(Equal(before))
 			f.killAll()
 		}
 		h := f.add()
@@ -96,9 +99,9 @@
 			Expect(call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i)).status).To(Equal(http.StatusBadGateway))
 		}
 		Eventually(blocksDeadly(entry)).Should(BeTrue())
-		Expect(f.store.Value(crashesKey)).To(BeEmpty())
+		Expect(f.storedCrashes()).To(BeEmpty())
 		f.store.SetDown(false)
-		Eventually(func() []byte { return f.store.Value(crashesKey) }).ShouldNot(BeEmpty())
+		Eventually(f.storedCrashes).ShouldNot(BeEmpty())
 		f.killAll()
 		Expect(blocksDeadly(entry)()).To(BeTrue())
 	})
@@ -125,12 +128,12 @@
 	It("are written a few times for several crashes, and not without any", func() {
 		f, entry := fleetAfterCrashes()
 		Eventually(blocksDeadly(entry)).Should(BeTrue())
-		Eventually(func() []byte { return f.store.Value(crashesKey) }).ShouldNot(BeEmpty())
-		value := f.store.Value(crashesKey)
+		Eventually(f.storedCrashes).ShouldNot(BeEmpty())
+		value := f.storedCrashes()
 		for range 20 {
 			f.expectNoRun(entry, "again")
 		}
-		Consistently(func() []byte { return f.store.Value(crashesKey) }, "1s").Should(Equal(value))
+		Consistently(f.storedCrashes, "1s").Should(Equal(value))
 	})
 
 	DescribeTable("are ignored where they cannot be read",
