egress: let no failure of an upstream clear the crashes of a request

Callers: a request that had crashed one or two upstreams came to one that fails or sheds some of its requests, got 500, and crashed three more upstreams before it was refused; again after each such answer. None was reported: found by asking what ends a block.

Cause: every complete response cleared the request, also one of an upstream that answers without having run it.

Change: a response clears a request only with a status below 500 that is none of the four that say that the request has not run.

Evidence: "a request that an upstream fails or sheds keeps its crash count", with 500, 503, 429 and 408, failed in four entries of four before, and passes.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -231,7 +231,9 @@
 			finish(response.Body.Complete())
 			switch err := response.Body.Err(); {
 			case response.Body.Complete():
-				g.blocklist.Answered(g.clock.Now(), meta.Fingerprint)
+				if showsHarmless(response.Status) {
+					g.blocklist.Answered(g.clock.Now(), meta.Fingerprint)
+				}
 			case err != nil:
 				g.logBrokenResponse(meta, response, err)
 				if !cancelled {
@@ -242,6 +244,12 @@
 	}
 }
 
+// showsHarmless reports whether a complete response with a status shows that its request does
+// not crash upstreams. One that fails or sheds requests may have answered without a run.
+func showsHarmless(status int) bool {
+	return status < http.StatusInternalServerError && !platform.PromisesNoRun(status)
+}
+
 func (g *Gate) outgoing(t target, meta hop.Meta, c *Call, remaining time.Duration) *http1.OutgoingRequest {
 	header := c.Header.Clone()
 	hop.Strip(header)
--- a/egress/crash_test.go
+++ b/egress/crash_test.go
@@ -110,6 +110,32 @@
 	})
 })
 
+var _ = Describe("a request that an upstream fails or sheds", func() {
+	// Guards against a request that crashes upstreams without end, as the failures of another
+	// upstream clear its count.
+	DescribeTable("keeps its crash count",
+		func(fault standin.Fault) {
+			const fingerprint = 7
+			blocklist := quarantine.NewBlocklist()
+			for range 2 {
+				blocklist.Crashed(time.Now(), []uint64{fingerprint})
+			}
+			gate, backend := newGateWithBlocklist(blocklist)
+			backend.InjectFaults(fault)
+			m := meta("failed")
+			m.Fingerprint = fingerprint
+			do(gate, m)
+			Expect(backend.Runs()).To(HaveLen(1))
+			blocklist.Crashed(time.Now(), []uint64{fingerprint})
+			Expect(blocklist.Blocked(fingerprint)).To(BeTrue())
+		},
+		Entry("with 500", standin.FaultError),
+		Entry("with 503", standin.FaultRunUnavailable),
+		Entry("with 429", standin.FaultRunLimited),
+		Entry("with 408", standin.FaultRunTimeout),
+	)
+})
+
 var _ = Describe("a request that is blocked while it is queued", func() {
 	It("does not run", func() {
 		const fingerprint = 7
