control: start no goroutine after the connections are closed

Operators: a node that stopped could end with "panic: tomb.Go called after all goroutines terminated", while a broadcast opened a connection or a message came in.

Cause: add asked whether the connections were open and then started a goroutine; Close began between the two, since it took the lock only afterwards. Handlers of received messages were started without the question.

Change: Close begins under the lock, and goroutines are started under it.

--- a/control/peers.go
+++ b/control/peers.go
@@ -79,8 +79,8 @@
 
 // Close closes all connections and waits for their goroutines.
 func (p *Peers) Close() {
-	p.tomb.Kill(nil)
 	p.mu.Lock()
+	p.tomb.Kill(nil)
 	for _, peer := range p.peers {
 		peer.close()
 	}
@@ -212,6 +212,21 @@
 	return added, nil
 }
 
+// startHandling handles a message on a goroutine of its own and returns true, or returns
+// false once the connections are closed.
+func (p *Peers) startHandling(ctx context.Context, from *peer, message *Message) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.tomb.Alive() {
+		return false
+	}
+	p.tomb.Go(func() error {
+		p.handle(ctx, from, message)
+		return nil
+	})
+	return true
+}
+
 // closeLeastRecentlyUsed closes the least recently used connection on which no
 // reply is pending.
 func (p *Peers) closeLeastRecentlyUsed() {
@@ -245,10 +260,9 @@
 			from.deliver(message)
 			continue
 		}
-		p.tomb.Go(func() error {
-			p.handle(ctx, from, message)
-			return nil
-		})
+		if !p.startHandling(ctx, from, message) {
+			return
+		}
 	}
 }
 
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -61,6 +61,61 @@
 		_, err = client.Request(context.Background(), listener.Addr().String(), control.Message{Kind: control.Ping})
 		Expect(err.(*control.Error).Kind()).To(Equal(control.KindConnect))
 	})
+
+	It("close while they connect and receive", func() {
+		// Guards against a node that panics as it stops.
+		for range 300 {
+			server := control.NewPeers(echo, nil)
+			listener := httptest.NewServer(server)
+			client := control.NewPeers(echo, nil)
+			sent := make(chan struct{}, 4)
+			var group sync.WaitGroup
+			for range 4 {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					for range 20 {
+						if client.Send(context.Background(), listener.Listener.Addr().String(), control.Message{Kind: control.Ping}) != nil {
+							return
+						}
+						select {
+						case sent <- struct{}{}:
+						default:
+						}
+					}
+				}()
+			}
+			<-sent
+			server.Close()
+			client.Close()
+			group.Wait()
+			listener.Close()
+		}
+	})
+
+	It("close while they open a connection", func() {
+		// Guards against a node that panics as it stops.
+		server := control.NewPeers(echo, nil)
+		listener := httptest.NewServer(server)
+		defer listener.Close()
+		defer server.Close()
+		for range 3000 {
+			connected := make(chan struct{})
+			var once sync.Once
+			client := control.NewPeers(echo, func(ctx context.Context, network, address string) (net.Conn, error) {
+				defer once.Do(func() { close(connected) })
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			})
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_ = client.Send(context.Background(), listener.Listener.Addr().String(), control.Message{Kind: control.Ping})
+			}()
+			<-connected
+			client.Close()
+			<-ended
+		}
+	})
 })
 
 func FuzzDecode(f *testing.F) {
