quarantine, egress, sidecar: store a trial of a blocked request before it runs

Callers: a request that had crashed three upstreams and was blocked came again after more than five minutes, from several callers at once, and ran at each upstream whose gate was asked, with other requests lost at each. None was reported: found by asking what the bound of two trials rests on.

Cause: a gate counted its trial in memory, ran it, and told the others afterwards. Once the pauses of all nodes have passed, every gate is due at the same time.

Change: a gate reads the stored counts and writes its trial into them before the run, as a crash at a source of its own, on the condition that no other node has written. One of several succeeds, the others read its trial and wait again. Without the store there is no trial.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -83,7 +83,7 @@
 	}
 	// The upstream may have started to drain, its failure domain may have been evacuated, or
 	// the request may have been blocked, while the call was queued.
-	if _, refused = g.checkUpstream(meta); refused == "" && !g.blocklist.Admit(g.clock.Now(), meta.Fingerprint) {
+	if _, refused = g.checkUpstream(meta); refused == "" && g.blocklist.Blocked(meta.Fingerprint) && !g.storeTrial(ctx, meta.Fingerprint) {
 		refused = call.ReasonQuarantined
 	}
 	if refused != "" {
--- a/egress/crash_test.go
+++ b/egress/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -166,23 +167,55 @@
 })
 
 var _ = Describe("a blocked request", func() {
-	It("runs at an upstream for a trial, whose answer clears it", func() {
-		const fingerprint = 7
-		blocklist := quarantine.NewBlocklist()
+	const fingerprint = 7
+	var (
+		blocklist *quarantine.Blocklist
+		gate      *egress.Gate
+		stored    bool
+		trials    int
+		m         hop.Meta
+	)
+	// afterPause sends the request to a gate that asks whether a trial is stored.
+	afterPause := func() hop.AnswerMeta {
+		GinkgoHelper()
+		blocklist, trials = quarantine.NewBlocklist(), 0
 		for range 3 {
 			blocklist.Crashed(time.Now(), []uint64{fingerprint})
 		}
 		now := &shiftedClock{}
-		gate, backend := newGateWithBlocklist(blocklist, egress.WithClock(now))
-		m := meta("blocked")
+		var backend *standin.Backend
+		gate, backend = newGateWithBlocklist(blocklist, egress.WithClock(now), egress.WithTrials(func(_ context.Context, requested uint64) bool {
+			Expect(requested).To(Equal(uint64(fingerprint)))
+			trials++
+			return stored
+		}))
+		m = meta("blocked")
 		m.Fingerprint = fingerprint
 		Expect(do(gate, m).Reason).To(Equal(call.ReasonQuarantined))
+		Expect(trials).To(BeZero())
 		now.shift.Add(int64(10 * time.Minute))
 		Expect(gate.Heartbeat(heartbeat(backend.Address(), "i-1", "ready", 1000, 2))).To(BeTrue())
 		Eventually(phase(gate)).Should(Equal(fleet.Ready))
 		m.ID = "trial"
-		Expect(do(gate, m).Outcome).To(Equal(call.Answered))
+		answer := do(gate, m)
+		Expect(trials).To(Equal(1))
+		return answer
+	}
+
+	It("runs at an upstream for a trial, whose answer clears it", func() {
+		stored = true
+		Expect(afterPause().Outcome).To(Equal(call.Answered))
 		Expect(blocklist.Blocked(fingerprint)).To(BeFalse())
+		m.ID = "after"
+		Expect(do(gate, m).Outcome).To(Equal(call.Answered))
+		Expect(trials).To(Equal(1))
+	})
+
+	It("does not run for a trial that is not stored", func() {
+		stored = false
+		Expect(afterPause().Reason).To(Equal(call.ReasonQuarantined))
+		Expect(gate.Running()).To(BeZero())
+		Expect(blocklist.Blocked(fingerprint)).To(BeTrue())
 	})
 })
 
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -98,9 +98,11 @@
 	// nestedExcess returns the excess of services that runs call.
 	nestedExcess func() map[string]float32
 	blocklist    *quarantine.Blocklist
-	evacuated    func() bool
-	dial         http1.Dial
-	tomb         tomb.Tomb
+	// storeTrial stores a trial of a blocked request and reports whether it may run.
+	storeTrial func(ctx context.Context, fingerprint uint64) bool
+	evacuated  func() bool
+	dial       http1.Dial
+	tomb       tomb.Tomb
 
 	mu           sync.Mutex
 	upstream     upstream
@@ -150,6 +152,12 @@
 	return func(g *Gate) { g.blocklist = blocklist }
 }
 
+// WithTrials sets the function that stores a trial of a blocked request and reports whether
+// the request may run. Without it there are no trials.
+func WithTrials(storeTrial func(ctx context.Context, fingerprint uint64) bool) Option {
+	return func(g *Gate) { g.storeTrial = storeTrial }
+}
+
 // WithEvacuation sets the function that reports whether the upstream's failure domain is
 // evacuated. Then the gate rejects all calls; those in progress run to their end.
 func WithEvacuation(evacuated func() bool) Option { return func(g *Gate) { g.evacuated = evacuated } }
@@ -170,7 +178,7 @@
 		clock: clock.System{}, logger: log.NewNopLogger(), address: address, table: table, notifyPhase: func() {}, nestedExcess: func() map[string]float32 { return nil },
 		departed: map[incarnation]struct{}{}, runs: map[string]*Run{},
 		entryNodes: map[string]time.Time{}, runTimes: map[string]*movingMean{}, notifyLoad: func() {}, notifySaturation: func() {}, restored: map[string]SaturationEstimate{},
-		blocklist: quarantine.NewBlocklist(), evacuated: func() bool { return false }, runLog: newLineLimit(runLinesPerSecond), unansweredLog: newLineLimit(runLinesPerSecond), discardLog: newLineLimit(discardLinesPerSecond), warmup: newWarmupState(),
+		blocklist: quarantine.NewBlocklist(), storeTrial: func(context.Context, uint64) bool { return false }, evacuated: func() bool { return false }, runLog: newLineLimit(runLinesPerSecond), unansweredLog: newLineLimit(runLinesPerSecond), discardLog: newLineLimit(discardLinesPerSecond), warmup: newWarmupState(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -20,7 +20,7 @@
 
 // Blocklist counts, over all nodes, the upstreams that ended while they ran a
 // request, and blocks it at blockThreshold until it is answered, however long that
-// takes. maxTrials runs may bring that answer. Unlike Quarantine it does not run suspects
+// takes. maxTrials runs, each stored beforehand, may bring that answer. Unlike Quarantine it does not run suspects
 // alone, so that an upstream that ended for another reason does not delay the requests that
 // it ran; one answer clears a request. It is safe for concurrent use.
 //
@@ -117,7 +117,7 @@
 	return c != nil && c.blocked()
 }
 
-// Refuses reports whether the request must not run now.
+// Refuses reports whether the request must not run now, not even for a trial.
 func (b *Blocklist) Refuses(now time.Time, fingerprint uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -125,26 +125,6 @@
 	return c != nil && c.blocked() && !c.trialDue(now)
 }
 
-// Admit reports whether the request may run, and records a trial if it is blocked. It is to
-// be called right before a run.
-func (b *Blocklist) Admit(now time.Time, fingerprint uint64) bool {
-	b.mu.Lock()
-	c := b.requests[fingerprint]
-	if c == nil || !c.blocked() {
-		b.mu.Unlock()
-		return true
-	}
-	due := c.trialDue(now)
-	if due {
-		c.countHere(now, b.source)
-	}
-	b.mu.Unlock()
-	if due {
-		b.notify()
-	}
-	return due
-}
-
 // BlockedRequests returns how many requests must not run.
 func (b *Blocklist) BlockedRequests() int {
 	b.mu.Lock()
--- a/quarantine/crashstate.go
+++ b/quarantine/crashstate.go
@@ -14,8 +14,8 @@
 	// it is answered.
 	maxTrials = 2
 	// minTrialPause and trialPauseSpread determine the pause between the latest change of a
-	// blocked request and a trial. It differs between nodes, so that others learn of the
-	// trial of one before their own.
+	// blocked request and a trial. It differs between nodes, so that mostly one of them
+	// stores a trial.
 	minTrialPause    = time.Minute
 	trialPauseSpread = 4 * time.Minute
 )
@@ -51,7 +51,7 @@
 	c.ownChangeAt = now
 }
 
-// countHere counts a crash or a trial at this node.
+// countHere counts a crash at this node.
 func (c *crashState) countHere(now time.Time, source uint32) {
 	count := c.counts[source]
 	count.crashes++
@@ -91,6 +91,13 @@
 	}
 }
 
+// raiseAll raises the counts of several sources.
+func (c *crashState) raiseAll(now time.Time, counts map[uint32]sourceCount) {
+	for source, count := range counts {
+		c.raise(now, source, count)
+	}
+}
+
 // clear records that an answer has followed all known crashes.
 func (c *crashState) clear() {
 	for source, count := range c.counts {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -1,7 +1,7 @@
 package quarantine
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 )
 
@@ -44,9 +44,14 @@
 // record returns the record of a request without what only earlier versions read.
 func (c *crashState) record(fingerprint uint64) Record {
 	r := Record{Fingerprint: fingerprint, Counts: make([]SourceCount, 0, len(c.counts))}
-	for _, source := range slices.Sorted(maps.Keys(c.counts)) {
-		count := c.counts[source]
+	for source, count := range c.counts {
 		r.Counts = append(r.Counts, SourceCount{Source: source, Crashes: count.crashes, Answered: count.answered})
 	}
+	r.sort()
 	return r
 }
+
+// sort sorts the counts by source.
+func (r *Record) sort() {
+	slices.SortFunc(r.Counts, func(a, b SourceCount) int { return cmp.Compare(a.Source, b.Source) })
+}
--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -44,7 +45,12 @@
 func (b *Blocklist) Snapshot() Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	blocked := b.latest((*crashState).blocked)
+	return b.snapshot(b.latest((*crashState).blocked))
+}
+
+// snapshot returns a Snapshot of the first of the blocked requests and the latest of the
+// others; b.mu must be held.
+func (b *Blocklist) snapshot(blocked []uint64) Snapshot {
 	counted := b.latest((*crashState).counted)
 	var s Snapshot
 	for _, fingerprint := range slices.Concat(blocked[:min(len(blocked), maxSavedBlocks)], counted[:min(len(counted), maxSavedCounts)]) {
@@ -54,11 +60,36 @@
 	return s
 }
 
+// Trial returns a Snapshot with a trial of a blocked request, or false if none is due. The
+// request may run once when that Snapshot has been stored in place of the counts that were
+// restored last, so that nodes never run trials at the same time.
+func (b *Blocklist) Trial(now time.Time, fingerprint uint64) (Snapshot, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.requests[fingerprint]
+	if c == nil || !c.blocked() || !c.trialDue(now) {
+		return Snapshot{}, false
+	}
+	blocked := slices.DeleteFunc(b.latest((*crashState).blocked), func(other uint64) bool { return other == fingerprint })
+	s := b.snapshot(slices.Insert(blocked, 0, fingerprint))
+	for i, record := range s.Requests {
+		if record.Fingerprint == fingerprint {
+			// A source of its own cannot be mistaken for a crash that is counted meanwhile.
+			s.Requests[i].Counts = append(record.Counts, SourceCount{Source: rand.Uint32(), Crashes: 1})
+			s.Requests[i].sort()
+		}
+	}
+	return s, true
+}
+
 // Saved records that a Snapshot of this node is stored.
-func (b *Blocklist) Saved(s Snapshot) {
+func (b *Blocklist) Saved(now time.Time, s Snapshot) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	saved := s.counts()
+	for fingerprint, counts := range saved {
+		b.request(fingerprint).raiseAll(now, counts)
+	}
 	for fingerprint, c := range b.requests {
 		c.saved = saved[fingerprint]
 	}
@@ -86,9 +117,7 @@
 	}
 	for fingerprint, counts := range stored {
 		c := b.request(fingerprint)
-		for source, count := range counts {
-			c.raise(now, source, count)
-		}
+		c.raiseAll(now, counts)
 		c.saved = counts
 	}
 	b.evict()
--- a/quarantine/snapshot_test.go
+++ b/quarantine/snapshot_test.go
@@ -25,9 +25,24 @@
 // write reads and then writes the counts that a node knows.
 func (s *storedCounts) write(now time.Time, b *quarantine.Blocklist) {
 	s.read(now, b)
+	s.put(now, b, b.Snapshot())
+}
+
+// put writes a snapshot of a node.
+func (s *storedCounts) put(now time.Time, b *quarantine.Blocklist, snapshot quarantine.Snapshot) {
 	s.version++
-	s.snapshot = b.Snapshot()
-	b.Saved(s.snapshot)
+	s.snapshot = snapshot
+	b.Saved(now, snapshot)
+}
+
+// trial reads the counts and writes a trial of a request, and reports whether one was due.
+func (s *storedCounts) trial(now time.Time, b *quarantine.Blocklist, fingerprint uint64) bool {
+	s.read(now, b)
+	snapshot, due := b.Trial(now, fingerprint)
+	if due {
+		s.put(now, b, snapshot)
+	}
+	return due
 }
 
 // start returns the counts of a node that has just started and read the stored ones.
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -9,6 +10,7 @@
 	"github.com/banyancross/banyancross/codec"
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/platform"
+	"github.com/banyancross/banyancross/quarantine"
 )
 
 const (
@@ -17,6 +19,8 @@
 	// crashWriteDelay is the pause between a crash and the write of its counts. Within it,
 	// nodes tell each other what they counted, and one write holds the crashes of several.
 	crashWriteDelay = 250 * time.Millisecond
+	// trialWriteTimeout bounds the time that a slot of the upstream waits for the store.
+	trialWriteTimeout = 250 * time.Millisecond
 )
 
 // notifyCrashesChanged requests that the crash counts be stored.
@@ -52,23 +56,59 @@
 
 // writeCrashes adds the counts of this node to the stored ones.
 func (s *Sidecar) writeCrashes() error {
-	entry, err := s.store.Get(s.context(), crashesKey)
+	s.crashWrites.Lock()
+	defer s.crashWrites.Unlock()
+	entry, err := s.loadCrashes(s.context())
 	if err != nil {
 		return err
 	}
-	s.restoreCrashes(entry)
-	snapshot := s.blocklist.Snapshot()
+	return s.putCrashes(s.context(), entry, s.blocklist.Snapshot())
+}
+
+// storeTrial stores a trial of a blocked request, and reports whether the request may run.
+func (s *Sidecar) storeTrial(ctx context.Context, fingerprint uint64) bool {
+	if !s.crashWrites.TryLock() {
+		return false
+	}
+	defer s.crashWrites.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, trialWriteTimeout)
+	defer cancel()
+	entry, err := s.loadCrashes(ctx)
+	if err != nil {
+		return false
+	}
+	snapshot, due := s.blocklist.Trial(s.clock.Now(), fingerprint)
+	if !due {
+		return false
+	}
+	err = s.putCrashes(ctx, entry, snapshot)
+	_ = level.Info(s.logger).Log("event", "trial", "fingerprint", FormatFingerprint(fingerprint), "stored", err == nil, "err", err)
+	return err == nil
+}
+
+// loadCrashes reads the stored crash counts and applies them.
+func (s *Sidecar) loadCrashes(ctx context.Context) (platform.Entry, error) {
+	entry, err := s.store.Get(ctx, crashesKey)
+	if err == nil {
+		s.restoreCrashes(entry)
+	}
+	return entry, err
+}
+
+// putCrashes stores a snapshot unless the entry that was read holds it, or another node has
+// written since.
+func (s *Sidecar) putCrashes(ctx context.Context, entry platform.Entry, snapshot quarantine.Snapshot) error {
 	value, err := codec.Marshal(snapshot)
 	if err != nil {
 		return err
 	}
 	if !bytes.Equal(value, entry.Value()) && len(entry.Value())+len(snapshot.Requests) > 0 {
-		if err := s.store.Put(s.context(), crashesKey, value, entry.Version()); err != nil {
+		if err := s.store.Put(ctx, crashesKey, value, entry.Version()); err != nil {
 			return err
 		}
 		_ = level.Info(s.logger).Log("event", "crashes-stored", "requests", len(snapshot.Requests), "blocked", s.blocklist.BlockedRequests())
 	}
-	s.blocklist.Saved(snapshot)
+	s.blocklist.Saved(s.clock.Now(), snapshot)
 	return nil
 }
 
--- a/sidecar/crashes_test.go
+++ b/sidecar/crashes_test.go
@@ -3,9 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/clock"
+	"github.com/banyancross/banyancross/sidecar"
 )
 
 const crashesKey = "banyancross/crashes"
@@ -39,6 +44,15 @@
 	Expect(f.runs(id)).To(BeEmpty())
 }
 
+// movedClock is the system's clock, set forward by a duration.
+type movedClock struct {
+	clock.System
+	ahead atomic.Int64
+}
+
+// Now returns the time.
+func (c *movedClock) Now() time.Time { return c.System.Now().Add(time.Duration(c.ahead.Load())) }
+
 // unharmed returns the host whose upstream fleetAfterCrashes has left.
 func (f *testFleet) unharmed() *host {
 	GinkgoHelper()
@@ -136,6 +150,39 @@
 		Consistently(f.storedCrashes, "1s").Should(Equal(value))
 	})
 
+	It("admit a trial of a blocked request at one of many nodes at a time", func() {
+		// Guards against a blocked request that crashes as many upstreams at once as there are
+		// nodes, where it comes again after a long pause.
+		f, entry := fleetAfterCrashes()
+		Eventually(f.storedCrashes).ShouldNot(BeEmpty())
+		clock := &movedClock{}
+		for range 5 {
+			f.add(sidecar.WithClock(clock))
+		}
+		later := f.hosts[len(f.hosts)-5:]
+		for _, h := range later {
+			Eventually(blocksDeadly(h)).Should(BeTrue())
+			Expect(h.sidecar.StoreTrial("POST", "x", "/pay/deadly", "body")).To(BeFalse())
+		}
+		clock.ahead.Store(int64(10 * time.Minute))
+		f.store.SetDown(true)
+		Expect(later[0].sidecar.StoreTrial("POST", "x", "/pay/deadly", "body")).To(BeFalse())
+		f.store.SetDown(false)
+		admitted := make(chan bool, len(later))
+		for _, h := range later {
+			go func() { admitted <- h.sidecar.StoreTrial("POST", "x", "/pay/deadly", "body") }()
+		}
+		trials := 0
+		for range later {
+			if <-admitted {
+				trials++
+			}
+		}
+		Expect(trials).To(Equal(1))
+		f.killAll()
+		Expect(blocksDeadly(entry)()).To(BeTrue())
+	})
+
 	DescribeTable("are ignored where they cannot be read",
 		func(value string) {
 			f := newTestFleet()
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"time"
 
 	"github.com/banyancross/banyancross/egress"
@@ -14,8 +15,16 @@
 
 // Blocks reports whether the blocklist blocks a request.
 func (s *Sidecar) Blocks(method, host, target, content string) bool {
-	fingerprint := ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)})
-	return s.blocklist.Blocked(fingerprint)
+	return s.blocklist.Blocked(fingerprint(method, host, target, content))
+}
+
+// StoreTrial exports storeTrial.
+func (s *Sidecar) StoreTrial(method, host, target, content string) bool {
+	return s.storeTrial(context.Background(), fingerprint(method, host, target, content))
+}
+
+func fingerprint(method, host, target, content string) uint64 {
+	return ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)})
 }
 
 // SetEstimate sets the gate's saturation estimate for a service.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -113,6 +113,9 @@
 	nodeLines        *rate.Limiter
 	nodeLinesOmitted int
 
+	// crashWrites is held from a read of the stored crash counts to their write.
+	crashWrites sync.Mutex
+
 	mu  sync.Mutex
 	rng *rand.Rand
 }
@@ -176,7 +179,7 @@
 	s.logger = log.With(s.logger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.BackendAddress(), s.table.Load, egress.WithClock(s.clock),
 		egress.WithLogger(s.logger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
-		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist),
+		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist), egress.WithTrials(s.storeTrial),
 		egress.WithEvacuation(s.evacuated),
 		egress.WithWarmupBounds(func() (float64, float64) {
 			conf := s.settings.Load()
