ingress: tell the requests of organisations apart that crash upstreams

Callers: a request that crashed upstreams for one organisation was forgotten with each answer to the same request of another, and crashed three more; once it was blocked, the other organisation was refused, too. None was reported: found by asking what ends a block.

Cause: the fingerprint left out the caller's organisation, which upstreams are told.

Change: the organisation's name is part of it; without organisations it is as before.

Evidence: "tells the requests of organisations apart that crash upstreams" failed before, and passes.

--- a/ingress/identity_test.go
+++ b/ingress/identity_test.go
@@ -18,6 +18,7 @@
 	"github.com/banyancross/banyancross/hop"
 	"github.com/banyancross/banyancross/ingress"
 	"github.com/banyancross/banyancross/organisation"
+	"github.com/banyancross/banyancross/quarantine"
 	"github.com/banyancross/banyancross/route"
 )
 
@@ -113,6 +114,30 @@
 		Entry("none on a public route", publicRoute(), "", [2]string{"TENANT", "shop"}),
 	)
 
+	It("tells the requests of organisations apart that crash upstreams", func() {
+		// Guards against a request that crashes upstreams without end, as the same request of
+		// another organisation is answered and clears its count.
+		blocklist := quarantine.NewBlocklist()
+		s := spread{
+			table: newTable([]route.Route{stockRoute()}, newOrganisation("shop"), newOrganisation("lab")), do: rejectAll,
+			options: []ingress.Option{ingress.WithBlocklist(blocklist)},
+		}
+		sender, address := s.start()
+		sendFrom := func(key string) uint64 {
+			Expect(ask(address, "a", withKey(key)).StatusCode).To(Equal(http.StatusServiceUnavailable))
+			attempts := sender.attempts()
+			return attempts[len(attempts)-1].meta.Fingerprint
+		}
+		deadly := sendFrom("shop-key")
+		for range 2 {
+			blocklist.Crashed(time.Now(), []uint64{deadly})
+		}
+		blocklist.Answered(time.Now(), sendFrom("lab-key"))
+		blocklist.Crashed(time.Now(), []uint64{deadly})
+		Expect(blocklist.Blocked(deadly)).To(BeTrue())
+		Expect(sendFrom("lab-key")).NotTo(Equal(deadly))
+	})
+
 	It("is not looked at without organisations", func() {
 		s := spread{table: newTable([]route.Route{stockRoute()}), do: rejectAll}
 		sender, address := s.start()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -265,7 +265,7 @@
 	if !s.identify(parent, nested) {
 		return
 	}
-	s.fingerprint = Fingerprint(r)
+	s.fingerprint = Fingerprint(r, s.organisationName())
 	if in.blocklist.Refuses(s.received, s.fingerprint) {
 		s.refuse(call.ReasonQuarantined)
 		return
@@ -320,12 +320,16 @@
 	return stop != nil && s.depth == 0 && s.received.After(stop.late) && s.received.Add(s.timeout).After(stop.end)
 }
 
-// Fingerprint returns a hash of a request's method, host, target and content. It
-// identifies a request across resends by its caller, each of which has an
-// identity of its own.
-func Fingerprint(r *http1.Request) uint64 {
+// Fingerprint returns a hash of a request's method, host, target and content, and of the
+// organisation of its caller, "" for none. It identifies a request across resends by its
+// caller, each of which has an identity of its own.
+func Fingerprint(r *http1.Request, organisation string) uint64 {
+	parts := []string{r.Method, r.Host, r.Target}
+	if organisation != "" {
+		parts = append([]string{organisation}, parts...)
+	}
 	digest := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.Target} {
+	for _, part := range parts {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -24,7 +24,7 @@
 }
 
 func fingerprint(method, host, target, content string) uint64 {
-	return ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)})
+	return ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)}, "")
 }
 
 // SetEstimate sets the gate's saturation estimate for a service.
