egress: count a run that was given up before its upstream crashed

Callers: a request that crashes upstreams was never blocked if its callers left, or its time was up, before the crash was seen.

Cause: only runs whose connection broke by itself were suspected, and a gate did not look at its upstream after a run of less than 100 ms.

Change: a run that was given up is a suspect for the 300 ms in which the upstream may be found to have ended; it counts as use of the upstream, which is probed meanwhile. Finish does nothing when called again, as its comment says.

Evidence: "a request that was given up while it ran counts as one that crashed the upstream", both entries, failed before, and pass.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -224,23 +224,26 @@
 	g.recordOutcome(response.Status >= http.StatusInternalServerError)
 	return &Answer{
 		Meta: hop.AnswerMeta{Outcome: call.Answered, ReachedUpstream: true, NestedCalls: g.nestedCalls(run)}, Response: response, received: head,
-		Finish: func() {
+		Finish: sync.OnceFunc(func() {
 			// finish cancels ctx.
 			cancelled := ctx.Err() != nil
 			response.Release()
 			finish(response.Body.Complete())
-			switch err := response.Body.Err(); {
+			err := response.Body.Err()
+			switch {
 			case response.Body.Complete():
 				if showsHarmless(response.Status) {
 					g.blocklist.Answered(g.clock.Now(), meta.Fingerprint)
 				}
-			case err != nil:
+			case err == nil || cancelled:
+				g.recordAbandonedRun(meta.Fingerprint)
+			default:
+				g.recordBrokenRun(meta.Fingerprint)
+			}
+			if err != nil {
 				g.logBrokenResponse(meta, response, err)
-				if !cancelled {
-					g.recordBrokenRun(meta.Fingerprint)
-				}
 			}
-		},
+		}),
 	}
 }
 
@@ -300,8 +303,10 @@
 	case context.DeadlineExceeded:
 		reason = call.ReasonDeadline
 		g.recordOutcome(true)
+		g.recordAbandonedRun(meta.Fingerprint)
 	default:
 		reason = call.ReasonCancelled
+		g.recordAbandonedRun(meta.Fingerprint)
 	}
 	answer := Refusal(call.Unknown, reason)
 	answer.Meta.ReachedUpstream, answer.err = true, err
--- a/egress/crash.go
+++ b/egress/crash.go
@@ -1,15 +1,21 @@
 package egress
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // crashWindow is the time within which all connections to a crashed upstream
 // break.
 const crashWindow = 300 * time.Millisecond
 
-// brokenRun is a run whose connection broke before its answer.
+// brokenRun is a run that ended without its whole answer.
 type brokenRun struct {
 	fingerprint uint64
 	at          time.Time
+	// abandoned means that the gate closed the connection, as the caller had left or the
+	// time was up.
+	abandoned bool
 }
 
 // recordBrokenRun records a run whose connection broke; the first within
@@ -17,17 +23,33 @@
 func (g *Gate) recordBrokenRun(fingerprint uint64) {
 	now := g.clock.Now()
 	g.mu.Lock()
-	first := len(g.brokenRuns) == 0 || now.Sub(g.brokenRuns[len(g.brokenRuns)-1].at) > crashWindow
-	if first {
-		g.brokenRuns = g.brokenRuns[:0]
-	}
-	g.brokenRuns = append(g.brokenRuns, brokenRun{fingerprint: fingerprint, at: now})
+	first := !slices.ContainsFunc(g.brokenRuns, func(run brokenRun) bool {
+		return !run.abandoned && now.Sub(run.at) <= crashWindow
+	})
+	g.addBrokenRun(brokenRun{fingerprint: fingerprint, at: now})
 	g.mu.Unlock()
 	if first && g.tomb.Alive() {
 		go g.probe(false)
 	}
 }
 
+// recordAbandonedRun records a run that the gate has given up. The upstream may crash at that
+// moment, so it counts as in use, which has it probed for a while.
+func (g *Gate) recordAbandonedRun(fingerprint uint64) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.health.lastInUse = now
+	g.addBrokenRun(brokenRun{fingerprint: fingerprint, at: now, abandoned: true})
+}
+
+// addBrokenRun adds a run and removes those before crashWindow; g.mu is held.
+func (g *Gate) addBrokenRun(added brokenRun) {
+	g.brokenRuns = append(slices.DeleteFunc(g.brokenRuns, func(run brokenRun) bool {
+		return added.at.Sub(run.at) > crashWindow
+	}), added)
+}
+
 // takeCrashSuspects removes the broken runs and returns the fingerprints of those
 // within crashWindow; g.mu is held.
 func (g *Gate) takeCrashSuspects(now time.Time) []uint64 {
--- a/egress/crash_test.go
+++ b/egress/crash_test.go
@@ -111,6 +111,59 @@
 	})
 })
 
+var _ = Describe("a request that was given up while it ran", func() {
+	// Guards against a request that crashes upstreams without end, as its callers leave or its
+	// time is up before each crash is seen.
+	DescribeTable("counts as one that crashed the upstream",
+		func(remaining time.Duration, cancels bool) {
+			const fingerprint = 7
+			blocklist := quarantine.NewBlocklist()
+			for i := range 3 {
+				Expect(blocklist.Blocked(fingerprint)).To(BeFalse())
+				gate, listener, running := newCrashingUpstream(blocklist)
+				ctx, cancel := context.WithCancel(context.Background())
+				m := meta(fmt.Sprint(i))
+				m.Fingerprint, m.Remaining = fingerprint, remaining
+				outcome := make(chan hop.AnswerMeta, 1)
+				go func() {
+					answer := gate.Do(ctx, m, &egress.Call{Method: http.MethodGet, Target: "/x", Host: "x", Header: http.Header{}})
+					answer.Finish()
+					outcome <- answer.Meta
+				}()
+				var conn net.Conn
+				Eventually(running).Should(Receive(&conn))
+				if cancels {
+					cancel()
+				}
+				var answer hop.AnswerMeta
+				Eventually(outcome).Should(Receive(&answer))
+				Expect(answer.Outcome).To(Equal(call.Unknown))
+				Expect(listener.Close()).To(Succeed())
+				Expect(conn.Close()).To(Succeed())
+				Eventually(phase(gate)).Should(Equal(fleet.Absent))
+				cancel()
+			}
+			Eventually(func() bool { return blocklist.Blocked(fingerprint) }).Should(BeTrue())
+		},
+		Entry("by a caller that leaves", 20*time.Second, true),
+		Entry("at its timeout", 50*time.Millisecond, false),
+	)
+
+	It("does not count if its upstream goes on", func() {
+		const fingerprint = 7
+		blocklist := quarantine.NewBlocklist()
+		gate, listener, running := newCrashingUpstream(blocklist)
+		m := meta("short")
+		m.Fingerprint, m.Remaining = fingerprint, 50*time.Millisecond
+		Expect(do(gate, m).Reason).To(Equal(call.ReasonDeadline))
+		Eventually(running).Should(Receive())
+		time.Sleep(time.Second)
+		Expect(listener.Close()).To(Succeed())
+		Expect(do(gate, meta("after")).Outcome).To(Equal(call.NotRun))
+		Expect(blocklist.Snapshot().Requests).To(BeEmpty())
+	})
+})
+
 var _ = Describe("a request that an upstream fails or sheds", func() {
 	// Guards against a request that crashes upstreams without end, as the failures of another
 	// upstream clear its count.
