egress: count the runs that broke before another start of their upstream

Callers: a request that crashes upstreams was never blocked where they are back within 300 ms.

Cause: only a refused connection showed that an upstream had ended.

Change: when another start of the upstream registers, and its predecessor was not leaving, the runs that broke since the last heartbeat of that one are counted.

Evidence: "a request whose connection broke before another start of its upstream counts as one that crashed the upstream" failed before, and passes; the two entries beside it show that an upstream that outlived the run is not held to have crashed.

--- a/egress/crash.go
+++ b/egress/crash.go
@@ -43,19 +43,26 @@
 	g.addBrokenRun(brokenRun{fingerprint: fingerprint, at: now, abandoned: true})
 }
 
-// addBrokenRun adds a run and removes those before crashWindow; g.mu is held.
+// addBrokenRun adds a run and removes those that can be no suspects any more; g.mu is held.
 func (g *Gate) addBrokenRun(added brokenRun) {
 	g.brokenRuns = append(slices.DeleteFunc(g.brokenRuns, func(run brokenRun) bool {
-		return added.at.Sub(run.at) > crashWindow
+		age := added.at.Sub(run.at)
+		return age > heartbeatTTL || run.abandoned && age > crashWindow
 	}), added)
 }
 
 // takeCrashSuspects removes the broken runs and returns the fingerprints of those
 // within crashWindow; g.mu is held.
 func (g *Gate) takeCrashSuspects(now time.Time) []uint64 {
+	return g.takeSuspectsSince(now, now.Add(-crashWindow))
+}
+
+// takeSuspectsSince removes the broken runs and returns the fingerprints of those whose
+// connections broke since a time, and of those abandoned within crashWindow; g.mu is held.
+func (g *Gate) takeSuspectsSince(now, since time.Time) []uint64 {
 	var fingerprints []uint64
 	for _, run := range g.brokenRuns {
-		if now.Sub(run.at) <= crashWindow {
+		if now.Sub(run.at) <= crashWindow || !run.abandoned && !run.at.Before(since) {
 			fingerprints = append(fingerprints, run.fingerprint)
 		}
 	}
--- a/egress/crash_test.go
+++ b/egress/crash_test.go
@@ -111,6 +111,51 @@
 	})
 })
 
+var _ = Describe("a request whose connection broke before another start of its upstream", func() {
+	const fingerprint = 7
+	// breakRun has a run end with its connection while the upstream's address goes on to accept
+	// connections, and returns the gate and the address.
+	breakRun := func(blocklist *quarantine.Blocklist) (*egress.Gate, string) {
+		GinkgoHelper()
+		gate, listener, running := newCrashingUpstream(blocklist)
+		m := meta("a")
+		m.Fingerprint = fingerprint
+		outcome := make(chan call.Outcome, 1)
+		go func() { outcome <- do(gate, m).Outcome }()
+		var conn net.Conn
+		Eventually(running).Should(Receive(&conn))
+		Expect(conn.Close()).To(Succeed())
+		Eventually(outcome).Should(Receive(Equal(call.Unknown)))
+		return gate, listener.Addr().String()
+	}
+
+	It("counts as one that crashed the upstream", func() {
+		// Guards against a request that crashes upstreams without end, as they are back before a
+		// connection is refused.
+		blocklist := quarantine.NewBlocklist()
+		for range 3 {
+			Expect(blocklist.Blocked(fingerprint)).To(BeFalse())
+			gate, address := breakRun(blocklist)
+			time.Sleep(time.Second)
+			Expect(gate.Heartbeat(heartbeat(address, "i-2", "ready", 2000, 1))).To(BeTrue())
+		}
+		Expect(blocklist.Blocked(fingerprint)).To(BeTrue())
+	})
+
+	DescribeTable("does not count if the upstream outlived it",
+		func(state string) {
+			blocklist := quarantine.NewBlocklist()
+			gate, address := breakRun(blocklist)
+			time.Sleep(time.Second)
+			Expect(gate.Heartbeat(heartbeat(address, "i-1", state, 1000, 2))).To(BeTrue())
+			Expect(gate.Heartbeat(heartbeat(address, "i-2", "ready", 2000, 1))).To(BeTrue())
+			Expect(blocklist.Snapshot().Requests).To(BeEmpty())
+		},
+		Entry("and went on", "ready"),
+		Entry("and left", "draining"),
+	)
+})
+
 var _ = Describe("a request that was given up while it ran", func() {
 	// Guards against a request that crashes upstreams without end, as its callers leave or its
 	// time is up before each crash is seen.
--- a/egress/upstream.go
+++ b/egress/upstream.go
@@ -63,6 +63,7 @@
 	_, left := g.departed[id]
 	sameIncarnation := previous.instance == h.Instance() && previous.started.Equal(h.Started())
 	logWarmup := func() {}
+	var suspects []uint64
 	switch {
 	case left && !h.Draining():
 		// The heartbeat was sent before the upstream left, and arrived late.
@@ -94,6 +95,10 @@
 			g.pool.SetMaxIdle(maxIdle(h.Slots()))
 		}
 	default:
+		if !previous.leaving {
+			// The earlier incarnation may have crashed too briefly for a refused connection.
+			suspects = g.takeSuspectsSince(now, previous.lastHeartbeat)
+		}
 		g.replaceUpstream(now, h)
 		logWarmup = g.recordHeartbeatWarmup(now, h)
 	}
@@ -103,10 +108,11 @@
 	changed := !sameIncarnation || g.upstream.leaving != previous.leaving || g.upstream.unreachable != previous.unreachable ||
 		g.confirmed() != wasConfirmed
 	g.mu.Unlock()
+	g.blocklist.Crashed(now, suspects)
 	logWarmup()
 	if changed {
 		_ = level.Info(g.logger).Log("event", "upstream", "upstream", h.Instance(), "service", h.Service(),
-			"sequence", h.Sequence(), "draining", h.Draining(), "cold", h.WarmupRemaining())
+			"sequence", h.Sequence(), "draining", h.Draining(), "cold", h.WarmupRemaining(), "suspects", len(suspects))
 		g.notifyPhase()
 	}
 	return true
