--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -81,9 +81,12 @@
 	if !due {
 		return false
 	}
-	err = s.putCrashes(ctx, entry, snapshot)
-	_ = level.Info(s.logger).Log("event", "trial", "fingerprint", FormatFingerprint(fingerprint), "stored", err == nil, "err", err)
-	return err == nil
+	if err := s.putCrashes(ctx, entry, snapshot); err != nil {
+		_ = level.Warn(s.logger).Log("event", "trial-not-stored", "fingerprint", FormatFingerprint(fingerprint), "err", err)
+		return false
+	}
+	_ = level.Info(s.logger).Log("event", "trial", "fingerprint", FormatFingerprint(fingerprint))
+	return true
 }
 
 // loadCrashes reads the stored crash counts and applies them.
