--- a/quarantine/snapshot_test.go
+++ b/quarantine/snapshot_test.go
@@ -35,10 +35,10 @@
 	b.Saved(now, snapshot)
 }
 
-// trial reads the counts and writes a trial of a request, and reports whether one was due.
-func (s *storedCounts) trial(now time.Time, b *quarantine.Blocklist, fingerprint uint64) bool {
+// trial reads the counts and writes a trial of request 1, and reports whether one was due.
+func (s *storedCounts) trial(now time.Time, b *quarantine.Blocklist) bool {
 	s.read(now, b)
-	snapshot, due := b.Trial(now, fingerprint)
+	snapshot, due := b.Trial(now, 1)
 	if due {
 		s.put(now, b, snapshot)
 	}
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -28,7 +28,7 @@
 	It("is not due within a minute", func() {
 		b := blocked()
 		Expect(b.Refuses(at.Add(59*time.Second), 1)).To(BeTrue())
-		Expect(store.trial(at.Add(59*time.Second), b, 1)).To(BeFalse())
+		Expect(store.trial(at.Add(59*time.Second), b)).To(BeFalse())
 	})
 
 	It("clears a request that is answered", func() {
@@ -37,9 +37,9 @@
 		b := blocked()
 		later := at.Add(longestPause)
 		Expect(b.Refuses(later, 1)).To(BeFalse())
-		Expect(store.trial(later, b, 1)).To(BeTrue())
+		Expect(store.trial(later, b)).To(BeTrue())
 		Expect(b.Refuses(later, 1)).To(BeTrue())
-		Expect(store.trial(later, b, 1)).To(BeFalse())
+		Expect(store.trial(later, b)).To(BeFalse())
 		b.Answered(later.Add(time.Second), 1)
 		Expect(b.Refuses(later.Add(time.Second), 1)).To(BeFalse())
 		Expect(b.Blocked(1)).To(BeFalse())
@@ -48,11 +48,11 @@
 	It("is the last one of a request that crashes once more", func() {
 		b := blocked()
 		later := at.Add(longestPause)
-		Expect(store.trial(later, b, 1)).To(BeTrue())
+		Expect(store.trial(later, b)).To(BeTrue())
 		b.Crashed(later, []uint64{1})
 		for range 10 {
 			later = later.Add(24 * time.Hour)
-			Expect(store.trial(later, b, 1)).To(BeFalse())
+			Expect(store.trial(later, b)).To(BeFalse())
 		}
 	})
 
@@ -60,7 +60,7 @@
 		b := blocked()
 		trials := 0
 		for later := at; later.Before(at.Add(24 * time.Hour)); later = later.Add(time.Minute) {
-			if store.trial(later, b, 1) {
+			if store.trial(later, b) {
 				trials++
 			}
 		}
@@ -79,21 +79,21 @@
 		trials := 0
 		for _, b := range nodes {
 			Expect(b.Refuses(later, 1)).To(BeFalse())
-			if store.trial(later, b, 1) {
+			if store.trial(later, b) {
 				trials++
 			}
 		}
 		Expect(trials).To(Equal(1))
 	})
 
-	It("is not stored by a node whose counts another has changed meanwhile", func() {
+	It("is not due at a node that reads the trial of another", func() {
 		a := blocked()
 		store.write(at, a)
 		b, later := store.start(at), at.Add(longestPause)
 		_, due := b.Trial(later, 1)
 		Expect(due).To(BeTrue())
-		Expect(store.trial(later, a, 1)).To(BeTrue())
-		Expect(store.trial(later, b, 1)).To(BeFalse())
+		Expect(store.trial(later, a)).To(BeTrue())
+		Expect(store.trial(later, b)).To(BeFalse())
 	})
 
 	It("is counted beside a crash at the same node meanwhile", func() {
@@ -119,7 +119,7 @@
 					nodes[i] = store.start(now)
 				}
 				store.read(now, nodes[i])
-				if nodes[i].Refuses(now, 1) || nodes[i].Blocked(1) && !store.trial(now, nodes[i], 1) {
+				if nodes[i].Refuses(now, 1) || nodes[i].Blocked(1) && !store.trial(now, nodes[i]) {
 					continue
 				}
 				runs++
