sidecar: store a crash within some 30 ms

Cause: a node waited about 250 ms before it wrote a crash to the store.

Change: it waits about 20 ms.

--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -16,9 +16,9 @@
 const (
 	// crashesKey holds the fleet's crash counts, which outlive all nodes.
 	crashesKey = entriesPrefix + "crashes"
-	// crashWriteDelay is the pause between a crash and the write of its counts. Within it,
-	// nodes tell each other what they counted, and one write holds the crashes of several.
-	crashWriteDelay = 250 * time.Millisecond
+	// crashWriteDelay is the pause between a crash and the write of its counts, in which the
+	// connections of all its runs break. Until the write, a kill of all nodes loses the crash.
+	crashWriteDelay = 20 * time.Millisecond
 	// trialWriteTimeout bounds the time that a slot of the upstream waits for the store.
 	trialWriteTimeout = 250 * time.Millisecond
 )
