--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -20,9 +20,10 @@
 
 // Blocklist counts, over all nodes, the upstreams that ended while they ran a
 // request, and blocks it at blockThreshold until it is answered, however long that
-// takes. maxTrials runs, each stored beforehand, may bring that answer. Unlike Quarantine it does not run suspects
-// alone, so that an upstream that ended for another reason does not delay the requests that
-// it ran; one answer clears a request. It is safe for concurrent use.
+// takes. maxTrials runs, each stored beforehand, may bring that answer. Unlike Quarantine
+// it does not run suspects alone, so that an upstream that ended for another reason does
+// not delay the requests that it ran; one answer clears a request. It is safe for
+// concurrent use.
 //
 // The counts at each source only grow, and so do those that were followed by an answer. So
 // nodes can learn them in any order, any number of times, and from each other or the store.
