sidecar, quarantine: store crash counts again that another writer has replaced

Callers: a request that had crashed three upstreams and was blocked crashed three more, if another writer had removed or spoilt the stored counts and all nodes restarted since. None was reported: found by asking what ends a block.

Cause: nodes went on to believe that the counts which they had read last were stored.

Change: a key that is missing or cannot be read means that nothing is stored.

Evidence: "crash counts are stored again after another writer", both entries, failed before (nothing stored within 5 s), and pass.

--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// Unstored records that no counts are stored, or none that can be read. That clears no
+// request.
+func (b *Blocklist) Unstored() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.requests {
+		c.saved = nil
+	}
+}
+
 // Restore adds the stored counts unless those of a later version were added. A request that
 // is no longer stored is cleared of the crashes that were: another node has had an answer,
 // or an operator has removed it.
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -115,14 +115,17 @@
 	return nil
 }
 
-// restoreCrashes applies the stored crash counts.
+// restoreCrashes applies the stored crash counts. If there are none that can be read, this
+// node's are to be stored again.
 func (s *Sidecar) restoreCrashes(entry platform.Entry) {
 	if entry.Version() == 0 {
+		s.blocklist.Unstored()
 		return
 	}
 	snapshot, err := decodeCrashes(entry)
 	if err != nil {
 		_ = level.Warn(s.logger).Log("event", "entry-skipped", "key", crashesKey, "err", err)
+		s.blocklist.Unstored()
 		return
 	}
 	s.blocklist.Restore(s.clock.Now(), entry.Version(), snapshot)
--- a/sidecar/crashes_test.go
+++ b/sidecar/crashes_test.go
@@ -183,6 +183,28 @@
 		Expect(blocksDeadly(entry)()).To(BeTrue())
 	})
 
+	// Guards against a blocked request that crashes upstreams again, as another writer has
+	// replaced the counts before all nodes end.
+	DescribeTable("are stored again after another writer",
+		func(write func(f *testFleet)) {
+			f, entry := fleetAfterCrashes()
+			Eventually(f.storedCrashes).ShouldNot(BeEmpty())
+			clock := &movedClock{}
+			reader := f.add(sidecar.WithClock(clock))
+			Eventually(blocksDeadly(reader)).Should(BeTrue())
+			Expect(reader.sidecar.ReadFleet()).To(Succeed())
+			before := f.storedCrashes()
+			write(f)
+			clock.ahead.Store(int64(time.Minute))
+			Expect(reader.sidecar.ReadFleet()).To(Succeed())
+			Eventually(f.storedCrashes, "5s").Should(Equal(before))
+			f.killAll()
+			Expect(blocksDeadly(entry)()).To(BeTrue())
+		},
+		Entry("has removed them", func(f *testFleet) { f.store.Remove(crashesKey) }),
+		Entry("has written what cannot be read", func(f *testFleet) { f.store.Store(crashesKey, []byte("{}")) }),
+	)
+
 	DescribeTable("are ignored where they cannot be read",
 		func(value string) {
 			f := newTestFleet()
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -23,6 +23,12 @@
 	return s.storeTrial(context.Background(), fingerprint(method, host, target, content))
 }
 
+// ReadFleet reads the fleet's entries as at regular intervals.
+func (s *Sidecar) ReadFleet() error {
+	lease := uint64(0)
+	return s.readFleet(&lease, false)
+}
+
 func fingerprint(method, host, target, content string) uint64 {
 	return ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)}, "")
 }
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -241,13 +241,14 @@
 // greets the nodes that are new.
 func (s *Sidecar) addEntries(entries []platform.Entry) {
 	now, added := s.clock.Now(), false
+	var crashes platform.Entry
 	for _, entry := range entries {
 		if service, ok := strings.CutPrefix(entry.Key(), estimatesPrefix); ok {
 			s.loadEstimate(service, entry)
 			continue
 		}
 		if entry.Key() == crashesKey {
-			s.restoreCrashes(entry)
+			crashes = entry
 			continue
 		}
 		b, err := fleet.Decode(entry.Value())
@@ -262,6 +263,7 @@
 			added = true
 		}
 	}
+	s.restoreCrashes(crashes)
 	if added {
 		s.extendJoinWait()
 		s.notifyStateChanged()
