cmd/banyancross: wait in scripts until the chosen ports are released

All five processes of the script ended with "address already in use", on the loopback address that no other script has.

Cause, likely: a listener that was closed lives on in a process that another script is just starting, until that has closed what it inherited, which may be after its exec let the parent go on. Reproduced outside the suite: 24 loops that start /bin/true, and 4 that listen, close and dial: 3 of 2,015 closed listeners still accepted, for up to 14 ms, with syscall.ForkLock taken in between. That it lasted long enough for five processes in the failed run is not shown.

Change: after closing its listeners a script waits until each refuses connections. No check of a script changed.

--- a/cmd/banyancross/script_test.go
+++ b/cmd/banyancross/script_test.go
@@ -77,11 +77,31 @@
 		env.Setenv("DAY", time.Now().UTC().Format(time.DateOnly))
 		env.Setenv("P"+strconv.Itoa(i+1), strconv.Itoa(listener.Addr().(*net.TCPAddr).Port))
 	}
+	return releasePorts(listeners)
+}
+
+// releasePorts closes listeners and waits until no process holds their ports any more: one
+// that another script is just starting may hold them until its program is loaded.
+func releasePorts(listeners []net.Listener) error {
 	for _, listener := range listeners {
 		if err := listener.Close(); err != nil {
 			return err
 		}
 	}
+	deadline := time.Now().Add(waitTimeout)
+	for _, listener := range listeners {
+		for {
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				break
+			}
+			_ = conn.Close()
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s is not released", listener.Addr())
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
 	return nil
 }
 
--- a/cmd/banyancross/sidecar_script_test.go
+++ b/cmd/banyancross/sidecar_script_test.go
@@ -31,11 +31,6 @@
 	// Scripts run in parallel, so each gets a loopback address of its own.
 	ip := fmt.Sprintf("127.92.%d.1", scriptCount.Add(1))
 	var listeners []net.Listener
-	defer func() {
-		for _, listener := range listeners {
-			_ = listener.Close()
-		}
-	}()
 	address := func() string {
 		listener, err := net.Listen("tcp", ip+":0")
 		if err != nil {
@@ -60,7 +55,7 @@
 			return err
 		}
 	}
-	return nil
+	return releasePorts(listeners)
 }
 
 const scriptConfiguration = `{"version":"r%s","resources":[
