deployment: give a long response the time to be received in a spec

Cause, likely: the response of 50 MB took longer than the 2 s that a call may take in these fleets, and was cut off for that.

Change: calls of this spec may take a minute. What it checks has not changed.

--- a/deployment/faults_test.go
+++ b/deployment/faults_test.go
@@ -200,6 +200,8 @@
 	It("lets a response in progress finish when its node is stopped", func() {
 		shape := sixHosts()
 		shape.LinkDelay = 0
+		// The whole response is to be received within it, also on a busy machine.
+		shape.Timeout = time.Minute
 		fleet := start(shape)
 		const size = 50 << 20
 		stopping := fleet.Members[0]
--- a/deployment/shape.go
+++ b/deployment/shape.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -21,6 +22,9 @@
 	Dependency string
 }
 
+// defaultTimeout is the time that a call may take where a Shape sets none.
+const defaultTimeout = 2 * time.Second
+
 // Shape describes a fleet.
 type Shape struct {
 	Name     string
@@ -34,6 +38,8 @@
 	LinkDelay   time.Duration
 	LinkJitter  time.Duration
 	CallerDelay time.Duration
+	// Timeout is the time that a call may take, 2 s if it is zero.
+	Timeout time.Duration
 	// ServiceTime is the mean time of a call while a slot is free.
 	ServiceTime time.Duration
 }
@@ -117,10 +123,11 @@
 // Note returns the first release note of the shape, in TOML.
 func (s Shape) Note() string {
 	var b strings.Builder
+	timeout := cmp.Or(s.Timeout, defaultTimeout)
 	fmt.Fprintf(&b, "id = \"first-%s\"\nmessage = \"first note of %s\"\n", s.Name, s.Name)
 	for _, service := range s.Services {
-		fmt.Fprintf(&b, "\n[service.%s]\ntimeout = \"2s\"\nslots = %d\nconnections = 240\nmax-body = 268435456\n",
-			service.Name, s.Slots)
+		fmt.Fprintf(&b, "\n[service.%s]\ntimeout = %q\nslots = %d\nconnections = 240\nmax-body = 268435456\n",
+			service.Name, timeout, s.Slots)
 	}
 	for _, service := range s.Services {
 		for i := range service.Upstreams {
