--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -52,11 +52,6 @@
 	// store takes about a second at 10 Mbit/s.
 	fetchTimeout        = 500 * time.Millisecond
 	anySizeFetchTimeout = 3 * time.Second
-	// hedgedFetchDelay is how long the fetch of a configuration of any size goes on alone:
-	// its node may have been cut off meanwhile.
-	hedgedFetchDelay = 600 * time.Millisecond
-	// maxHedgedFetches bounds the nodes from which such a configuration is fetched.
-	maxHedgedFetches = 3
 	// maxConfigurationBytes is the largest configuration: the largest value of
 	// the store.
 	maxConfigurationBytes = platform.MaxValueBytes
@@ -227,85 +222,41 @@
 	}
 }
 
-// outdated reports whether a node has a newer configuration than this one, and this one
-// goes on.
-func (s *Sidecar) outdated(peer fleet.Peer) bool {
-	table := s.table.Load()
-	return s.tomb.Alive() && (table == nil || table.Revision() < peer.Beacon().Revision)
-}
-
 // fetchFrom fetches a node's newer configuration from that node, or from the
 // store if it is large or the node does not answer, or at last from the node
 // whatever its size.
 func (s *Sidecar) fetchFrom(peer fleet.Peer) {
-	if !s.outdated(peer) {
+	outdated := func() bool {
+		table := s.table.Load()
+		return s.tomb.Alive() && (table == nil || table.Revision() < peer.Beacon().Revision)
+	}
+	if !outdated() {
 		return
 	}
-	if err := s.fetch(s.context(), peer, configurationPath, fetchTimeout); err != nil {
+	if err := s.fetch(peer, configurationPath, fetchTimeout); err != nil {
 		_ = level.Info(s.logger).Log("event", "fetch-elsewhere", "node", peer.Beacon().Host, "err", err)
 	}
-	if !s.outdated(peer) {
+	if !outdated() {
 		return
 	}
 	entry, err := s.store.Get(s.context(), platform.ConfigurationKey)
 	if err == nil && len(entry.Value()) > 0 {
 		s.applyConfiguration(entry.Value(), storeSource)
 	}
-	if !s.outdated(peer) {
+	if !outdated() {
 		return
 	}
 	if err != nil {
 		_ = level.Warn(s.logger).Log("event", "read-failed", "key", platform.ConfigurationKey, "err", err)
 	}
-	s.fetchAnySize(peer)
-}
-
-// fetchAnySize fetches a configuration of any size from a node, and from others that
-// announce it if that takes long or fails.
-func (s *Sidecar) fetchAnySize(first fleet.Peer) {
-	ctx, cancel := context.WithCancel(s.context())
-	defer cancel()
-	ended := make(chan error, maxHedgedFetches)
-	asked, running := map[string]bool{}, 0
-	start := func(peer fleet.Peer) {
-		asked[peer.Beacon().Host] = true
-		running++
-		go func() {
-			err := s.fetch(ctx, peer, anySizePath, anySizeFetchTimeout)
-			if err != nil && ctx.Err() == nil {
-				_ = level.Warn(s.logger).Log("event", "fetch-failed", "node", peer.Beacon().Host, "err", err)
-			}
-			ended <- err
-		}()
-	}
-	start(first)
-	var others <-chan fleet.Peer
-	delay := s.clock.After(hedgedFetchDelay)
-	for running > 0 {
-		select {
-		case err := <-ended:
-			running--
-			if err == nil {
-				return
-			}
-		case <-delay:
-			others = s.fetchRequests
-		case peer := <-others:
-			if asked[peer.Beacon().Host] || !s.outdated(peer) {
-				continue
-			}
-			start(peer)
-			others, delay = nil, s.clock.After(hedgedFetchDelay)
-			if len(asked) == maxHedgedFetches {
-				delay = nil
-			}
-		}
+	if err := s.fetch(peer, anySizePath, anySizeFetchTimeout); err != nil && s.tomb.Alive() {
+		_ = level.Warn(s.logger).Log("event", "fetch-failed", "node", peer.Beacon().Host, "err", err)
 	}
 }
 
 // fetch fetches a node's configuration and applies it.
-func (s *Sidecar) fetch(ctx context.Context, peer fleet.Peer, path string, timeout time.Duration) error {
-	data, err := s.get(ctx, peer, path, timeout, maxConfigurationBytes)
+func (s *Sidecar) fetch(peer fleet.Peer, path string, timeout time.Duration) error {
+	data, err := s.get(peer, path, timeout, maxConfigurationBytes)
 	if err != nil {
 		return err
 	}
@@ -314,8 +265,8 @@
 }
 
 // get fetches a document of at most limit bytes from a node.
-func (s *Sidecar) get(ctx context.Context, peer fleet.Peer, target string, timeout time.Duration, limit int) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (s *Sidecar) get(peer fleet.Peer, target string, timeout time.Duration, limit int) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(s.context(), timeout)
 	defer cancel()
 	b := peer.Beacon()
 	response, err := s.sender.pool(b).Do(ctx, &http1.OutgoingRequest{
--- a/sidecar/joining.go
+++ b/sidecar/joining.go
@@ -127,7 +127,7 @@
 // fetchRoster fetches the roster of a node and greets the nodes in it.
 func (s *Sidecar) fetchRoster(peer fleet.Peer) error {
 	conf := s.settings.Load()
-	data, err := s.get(s.context(), peer, rosterPath+"?"+conf.Host(), rosterTimeout, maxRosterBytes)
+	data, err := s.get(peer, rosterPath+"?"+conf.Host(), rosterTimeout, maxRosterBytes)
 	if err != nil {
 		return err
 	}
