http1: let a spec write more than sockets buffer

Cause: sockets buffer up to 36 MiB on this machine (tcp_rmem, tcp_wmem), so that a server that has read 64 KiB and waits for a processor does not keep the caller from writing 8 MiB.

Change: the caller writes up to 128 MiB, more than any buffer; the check, that the server closes before that, is the same.

--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -167,6 +167,9 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// beyondBuffers is more, in bytes, than the sockets of a connection buffer while nobody reads.
+	const beyondBuffers = 128 << 20
+
 	DescribeTable("answers 431 to a request whose trailer section does not end", func(start, more string) {
 		// Guards against memory that grows with the bytes of a trailer.
 		served := false
@@ -174,12 +177,12 @@
 		conn, br := dial(address)
 		_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"+start)
 		sent := make(chan int, 1)
-		go func() { sent <- writeUntilClosed(conn, more, 8<<20) }()
+		go func() { sent <- writeUntilClosed(conn, more, beyondBuffers) }()
 		status, _, closing := readResponse(br)
 		Expect(status).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 		Expect(closing).To(BeTrue())
 		Expect(conn.Close()).To(Succeed())
-		Eventually(sent).Should(Receive(BeNumerically("<", 8<<20)))
+		Eventually(sent).Should(Receive(BeNumerically("<", beyondBuffers)))
 		Expect(served).To(BeFalse())
 	},
 		Entry("many fields", "", "Rest: "+strings.Repeat("x", 4<<10)+"\r\n"),
