--- a/sidecar/crashes_test.go
+++ b/sidecar/crashes_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyancross/banyancross/clock"
 	"github.com/banyancross/banyancross/sidecar"
+	"github.com/banyancross/banyancross/standin"
 )
 
 const crashesKey = "banyancross/crashes"
@@ -53,6 +54,21 @@
 // Now returns the time.
 func (c *movedClock) Now() time.Time { return c.System.Now().Add(time.Duration(c.ahead.Load())) }
 
+// impatientClock is the system's clock, whose waits of over 100 ms do not end while it is
+// impatient.
+type impatientClock struct {
+	clock.System
+	impatient atomic.Bool
+}
+
+// After returns a channel that receives the time after a wait.
+func (c *impatientClock) After(d time.Duration) <-chan time.Time {
+	if c.impatient.Load() && d > 100*time.Millisecond {
+		return nil
+	}
+	return c.System.After(d)
+}
+
 // unharmed returns the host whose upstream fleetAfterCrashes has left.
 func (f *testFleet) unharmed() *host {
 	GinkgoHelper()
@@ -101,6 +117,22 @@
 		f.expectNoRun(entry, "last")
 	})
 
+	It("are stored with no wait of over 100 ms", func() {
+		// Guards against a request that crashes upstreams without end, as all nodes are killed soon
+		// after each crash.
+		f := newTestFleet()
+		f.publish(1)
+		entry := f.add()
+		clock := &impatientClock{}
+		h := f.add(sidecar.WithClock(clock))
+		h.sendHeartbeat("ready")
+		h.backend.InjectFaults(standin.FaultCrash)
+		f.waitUntilAvailable(entry, h)
+		clock.impatient.Store(true)
+		Expect(call(entry, http.MethodPost, "/pay/deadly", "d").status).To(Equal(http.StatusBadGateway))
+		Eventually(f.storedCrashes, "5s").ShouldNot(BeEmpty())
+	})
+
 	It("are stored once the store is back", func() {
 		f := newTestFleet()
 		f.publish(1)
