telemetry, sidecar, egress: lines of promises outlast others that no reader takes

What operators could not see: while nothing reads a node's standard output, its lines are dropped one by one beyond 2,048, and those that show whether a refused request has run were dropped like all others.

Cause: one buffer for all lines, filled by request lines, of which there are many under load.

The node still never waits for a reader, and the lines are bounded as before.

The spec that compares the promise lines of an entry node with the run lines of the gates now reads the new logger alone.

--- a/cmd/banyancross/sidecar.go
+++ b/cmd/banyancross/sidecar.go
@@ -41,6 +41,7 @@
 	s, err := sidecar.New(conf, sidecar.WithMetrics(metrics.Handler()), sidecar.WithObserver(metrics.ObserveRequest),
 		sidecar.WithStore(platform.NewClient(conf.PlatformAddress(), platform.WithObserver(metrics.ObserveStoreCall))),
 		sidecar.WithGauge(metrics.SetGauge), sidecar.WithOrganisationGauge(metrics.SetOrganisationGauge), sidecar.WithLogger(telemetry.NewLogger(output, conf.LogLevel())),
+		sidecar.WithEvidenceLogger(telemetry.NewLogger(output.Priority(), conf.LogLevel())),
 		sidecar.WithSettingsReader(func() (*settings.Sidecar, error) { return settings.ReadSidecar(command.Settings) }))
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/egress/gate.go
+++ b/egress/gate.go
@@ -88,12 +88,14 @@
 
 // Gate admits calls to one upstream; it is safe for concurrent use.
 type Gate struct {
-	clock       Clock
-	started     time.Time
-	logger      log.Logger
-	address     string
-	table       func() *route.Table
-	notifyPhase func()
+	clock   Clock
+	started time.Time
+	logger  log.Logger
+	// evidenceLogger logs what shows whether a request that is not idempotent has run.
+	evidenceLogger log.Logger
+	address        string
+	table          func() *route.Table
+	notifyPhase    func()
 	// notifyLoad is called when the upstream becomes full or slow, or ceases to be.
 	notifyLoad func()
 	// notifySaturation is called when the share of slots in use changes.
@@ -143,6 +145,12 @@
 // WithLogger sets where log lines go.
 func WithLogger(logger log.Logger) Option { return func(g *Gate) { g.logger = logger } }
 
+// WithEvidenceLogger sets where log lines go that show whether a request that is not idempotent
+// has run, by default where the others go.
+func WithEvidenceLogger(logger log.Logger) Option {
+	return func(g *Gate) { g.evidenceLogger = logger }
+}
+
 // WithPhaseNotify calls notifyPhase whenever the upstream's phase changes.
 func WithPhaseNotify(notifyPhase func()) Option { return func(g *Gate) { g.notifyPhase = notifyPhase } }
 
@@ -191,6 +199,9 @@
 	for _, option := range options {
 		option(g)
 	}
+	if g.evidenceLogger == nil {
+		g.evidenceLogger = g.logger
+	}
 	g.started = g.clock.Now()
 	g.warmup.limiter = warmup.NewLimiter(g.started)
 	g.tomb.Go(g.probeLoop)
--- a/egress/runlog.go
+++ b/egress/runlog.go
@@ -55,7 +55,11 @@
 	if answer.err != nil {
 		fields = append(fields, "err", answer.err)
 	}
-	_ = level.Info(g.logger).Log(fields...)
+	logger := g.evidenceLogger
+	if meta.Idempotent {
+		logger = g.logger
+	}
+	_ = level.Info(logger).Log(fields...)
 }
 
 // logBrokenResponse logs that the body of an upstream's response could not be read to
@@ -87,7 +91,7 @@
 			waiting = s.Request.ID
 		}
 		response := platform.ReadResponseHeaders(s.Status, s.Header)
-		_ = level.Info(g.logger).Log("event", "response-discarded", "response-to", truncated(response.ID()),
+		_ = level.Info(g.evidenceLogger).Log("event", "response-discarded", "response-to", truncated(response.ID()),
 			"connection", s.Connection, "exchange", s.Exchange, "stamped", response.Stamped(), "rejected", response.NotRun(), "status", s.Status,
 			"request", waiting, "unread", s.Request == nil, "upstream", instance, "omitted", omitted)
 	}
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -84,5 +84,5 @@
 
 // Observe returns a function that logs the end of a request at a time.
 func Observe(clock Clock, logger log.Logger) func(ingress.Observation) {
-	return newRequestLog(&Sidecar{clock: clock, logger: logger, observe: func(ingress.Observation) {}}).observe
+	return newRequestLog(&Sidecar{clock: clock, logger: logger, evidenceLogger: logger, observe: func(ingress.Observation) {}}).observe
 }
--- a/sidecar/promises.go
+++ b/sidecar/promises.go
@@ -27,14 +27,14 @@
 		return
 	}
 	if len(o.Trail) == 0 {
-		_ = level.Info(s.logger).Log("event", "promise", "request", o.ID, "status", o.Status, "send", 0, "reason", o.Reason,
+		_ = level.Info(s.evidenceLogger).Log("event", "promise", "request", o.ID, "status", o.Status, "send", 0, "reason", o.Reason,
 			"route", o.Route, "organisation", o.Organisation, "omitted", omitted)
 		return
 	}
 	for i, a := range o.Trail {
 		// The numbers of connection and exchange are one value, for readers that keep only the
 		// first 200 characters.
-		_ = level.Info(s.logger).Log("event", "promise", "request", o.ID, "status", o.Status, "send", i+1, "gate", a.Host, "reason", a.Reason,
+		_ = level.Info(s.evidenceLogger).Log("event", "promise", "request", o.ID, "status", o.Status, "send", i+1, "gate", a.Host, "reason", a.Reason,
 			"via", fmt.Sprintf("%d/%d", a.Connection, a.Exchange), "upstream-status", a.UpstreamStatus, "outcome", a.Outcome,
 			"sends", len(o.Trail), "upstream", a.Upstream, "route", o.Route, "omitted", omitted)
 		omitted = 0
--- a/sidecar/promises_test.go
+++ b/sidecar/promises_test.go
@@ -42,7 +42,7 @@
 		f := newTestFleet()
 		f.publish(1)
 		for _, name := range []string{"stock-1", "stock-2"} {
-			f.add(sidecar.WithLogger(telemetry.NewLogger(logs[name], "info"))).sendHeartbeat("ready")
+			f.add(sidecar.WithEvidenceLogger(telemetry.NewLogger(logs[name], "info"))).sendHeartbeat("ready")
 		}
 		entry := f.hosts[0]
 		for _, h := range f.hosts {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -47,14 +47,16 @@
 
 // Sidecar is a node of the fleet: the process beside a backend server.
 type Sidecar struct {
-	clock        Clock
-	logger       log.Logger
-	store        Store
-	started      time.Time
-	metrics      http.Handler
-	observe      func(ingress.Observation)
-	readSettings func() (*settings.Sidecar, error)
-	gauge        func(name string, value float64)
+	clock  Clock
+	logger log.Logger
+	// evidenceLogger logs what shows whether a request that is not idempotent has run.
+	evidenceLogger log.Logger
+	store          Store
+	started        time.Time
+	metrics        http.Handler
+	observe        func(ingress.Observation)
+	readSettings   func() (*settings.Sidecar, error)
+	gauge          func(name string, value float64)
 	// organisationGauge receives the gauges of organisations.
 	organisationGauge func(organisation, name string, value float64)
 
@@ -130,6 +132,12 @@
 // WithLogger sets the logger.
 func WithLogger(logger log.Logger) Option { return func(s *Sidecar) { s.logger = logger } }
 
+// WithEvidenceLogger sets the logger of the lines that show whether a request that is not
+// idempotent has run, by default that of the others.
+func WithEvidenceLogger(logger log.Logger) Option {
+	return func(s *Sidecar) { s.evidenceLogger = logger }
+}
+
 // WithStore sets the client of the platform.
 func WithStore(store Store) Option { return func(s *Sidecar) { s.store = store } }
 
@@ -177,9 +185,12 @@
 	s.started = s.clock.Now()
 	s.incarnation.Store(s.started.UnixNano())
 	s.joinWait.Store(int64(s.initialJoinWait(conf.FirstStart())))
-	s.logger = log.With(s.logger, "host", conf.Host())
+	if s.evidenceLogger == nil {
+		s.evidenceLogger = s.logger
+	}
+	s.logger, s.evidenceLogger = log.With(s.logger, "host", conf.Host()), log.With(s.evidenceLogger, "host", conf.Host())
 	s.gate = egress.NewGate(conf.BackendAddress(), s.table.Load, egress.WithClock(s.clock),
-		egress.WithLogger(s.logger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
+		egress.WithLogger(s.logger), egress.WithEvidenceLogger(s.evidenceLogger), egress.WithPhaseNotify(s.notifyStateChanged), egress.WithLoadNotify(s.notifyLoadChanged),
 		egress.WithSaturationNotify(s.notifyEstimateChanged), egress.WithBlocklist(s.blocklist), egress.WithTrials(s.storeTrial),
 		egress.WithEvacuation(s.evacuated),
 		egress.WithWarmupBounds(func() (float64, float64) {
--- a/telemetry/async_writer_test.go
+++ b/telemetry/async_writer_test.go
@@ -69,4 +69,37 @@
 		Expect(dropped).To(BeNumerically(">", 0))
 		Expect(written + dropped).To(Equal(lines))
 	})
+
+	It("keeps the lines of promises while the writer blocks and others are dropped", func() {
+		// Guards against a request that was refused, and ran, and left no line.
+		blocked := &blockedWriter{unblock: make(chan struct{})}
+		output := telemetry.NewAsyncWriter(blocked)
+		const promises = 3000
+		for i := range 10 * promises {
+			if i%10 == 0 {
+				_, _ = fmt.Fprintln(output.Priority(), "promise", i)
+			}
+			_, _ = fmt.Fprintln(output, "other", i)
+		}
+		close(blocked.unblock)
+		Eventually(output.Dropped).Should(BeZero())
+		output.Close()
+		Expect(strings.Count(blocked.text(), "promise")).To(Equal(promises))
+		Expect(blocked.text()).To(ContainSubstring(`"priority":0}`))
+	})
+
+	It("writes how many lines of promises it dropped", func() {
+		blocked := &blockedWriter{unblock: make(chan struct{})}
+		output := telemetry.NewAsyncWriter(blocked)
+		const promises = 20000
+		for i := range promises {
+			_, _ = fmt.Fprintln(output.Priority(), "promise", i)
+		}
+		dropped := output.Dropped()
+		close(blocked.unblock)
+		Eventually(output.Dropped).Should(BeZero())
+		output.Close()
+		Expect(blocked.text()).To(ContainSubstring(fmt.Sprintf(`"priority":%d}`, dropped)))
+		Expect(strings.Count(blocked.text(), "promise")).To(BeEquivalentTo(promises - dropped))
+	})
 })
