egress: a rejection that also says that the request ran is none

What callers could see: a request that is not idempotent was answered 503, "not run", and ran.

Cause: a gate looked for Not-Executed, or status 421, alone. A stamp says that the upstream ran the request, and so does a success; a response that says both is no promise.

Whether rejections bear stamps was the question that kept this open, as the platform's pages do not say.

The spec of the log of such a response expected reason `rejected`, and now expects `garbled` and an unknown outcome.

--- a/call/call.go
+++ b/call/call.go
@@ -64,7 +64,7 @@
 	ReasonNoConfig       Reason = "no-configuration"
 	ReasonSlowed         Reason = "slowed"        // declined because the host is slow
 	ReasonFailing        Reason = "failing"       // declined because most recent calls failed
-	ReasonGarbled        Reason = "garbled"       // no stamp of the upstream, or a content encoding
+	ReasonGarbled        Reason = "garbled"       // no stamp of the upstream, a content encoding, or a rejection with a stamp
 	ReasonFailed         Reason = "failed"        // the upstream answered with a server error
 	ReasonFalsePromise   Reason = "false-promise" // the upstream ran the request and answered that it had not
 	ReasonUnfinished     Reason = "unfinished"    // in flight when the request ended
--- a/egress/runlog_test.go
+++ b/egress/runlog_test.go
@@ -102,7 +102,7 @@
 			`"err":"unexpected EOF","event":"response-broken",.*"request":"a"`),
 		Entry("a rejection that also says that the request ran",
 			"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: a\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n",
-			`"event":"run",.*"reason":"rejected","request":"a",.*"stamped":true`),
+			`"event":"run",.*"outcome":"unknown","reason":"garbled","request":"a",.*"stamped":true,"status":503`),
 	)
 
 	DescribeTable("names the discarded responses and the connection of each run", func(second []string, lines ...string) {
