--- a/telemetry/requests.go
+++ b/telemetry/requests.go
@@ -47,10 +47,7 @@
 // ObserveStoreCall counts a request to the platform's key-value store.
 func (m *Metrics) ObserveStoreCall(e platform.Exchange) {
 	outcome := "unanswered"
-	switch {
-	case e.Misplaced:
-		outcome = "misplaced"
-	case !e.Failed:
+	if !e.Failed {
 		outcome = strconv.Itoa(e.Status)
 	}
 	m.scope.Tagged(map[string]string{"operation": e.Operation, "outcome": outcome}).Counter("store_calls_total").Inc(1)
