sidecar: the spec of draining waits until both nodes know the other upstream

"sends nothing to an upstream after acknowledging that it drains" sends half of its requests through the node whose upstream drains, and expects 200 for each. twoHosts waits until the first node knows both upstreams, not until the second one does: with its own upstream draining and the other unknown to it, that node rejects at once with 503.

The assertions are as they were.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -431,6 +431,7 @@
 
 	It("sends nothing to an upstream after acknowledging that it drains", func() {
 		f, a, b := twoHosts()
+		f.waitUntilAvailable(b, a)
 		b.sendHeartbeat("draining")
 		acknowledged := time.Now()
 		// Earlier heartbeats arrive late, one even with a higher sequence.
