sidecar: the spec of a restarted node's entry waits for the entry

"keeps the entry of a restarted node" counted the writes to the store as soon as both nodes served requests.

The spec waits until both nodes are registered, and after the restart until the node is registered again.

--- a/sidecar/watch_test.go
+++ b/sidecar/watch_test.go
@@ -122,6 +122,9 @@
 
 	It("keeps the entry of a restarted node", func() {
 		f, a, b := twoHosts()
+		for _, h := range f.hosts {
+			Eventually(h.sidecar.Registered).Should(BeTrue())
+		}
 		_, writes, _ := f.store.Calls()
 		b.sidecar.Kill()
 		b.start()
@@ -129,6 +132,7 @@
 		Eventually(b.sidecar.Ready).Should(BeTrue())
 		f.waitUntilServedBy(b, "i-stock-1")
 		f.waitUntilAvailable(a, b)
+		Eventually(b.sidecar.Registered).Should(BeTrue())
 		_, after, _ := f.store.Calls()
 		Expect(after).To(Equal(writes))
 	})
