sidecar: the spec of an evacuation waits for its log line

A node puts an evacuation in force and logs it then, so the line may be missing for a moment when the node already obeys. "gets no calls until the end of the evacuation, also from nodes that hear of it by gossip only" read the log once, after 30 requests.

The line that it expects is the same.

--- a/sidecar/evacuation_test.go
+++ b/sidecar/evacuation_test.go
@@ -69,7 +69,7 @@
 		f.waitForEvacuation("z2")
 		f.expectNoRuns(b, a, b, c)
 		Expect(b.sidecar.Ready()).To(BeTrue())
-		Expect(logs.text()).To(MatchRegexp(`"domains":"z2","event":"evacuation",.*"source":"stock-[12]","unknown":""`))
+		Eventually(logs.text).Should(MatchRegexp(`"domains":"z2","event":"evacuation",.*"source":"stock-[12]","unknown":""`))
 		f.store.Remove(evacuationOfZ2)
 		f.waitForEvacuation()
 		f.waitUntilServedBy(b, "i-stock-2")
