--- a/cmd/banyancross/script_test.go
+++ b/cmd/banyancross/script_test.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// client ends a request without a response, so that the script fails with its last answer.
-var client = &http.Client{Timeout: waitTimeout}
+// scriptClient ends a request without a response, so that the script fails with its last answer.
+var scriptClient = &http.Client{Timeout: waitTimeout}
 
 // sendRequest sends a call, METHOD URL [HEADER:VALUE...], and returns the answer
 // as text.
@@ -135,7 +135,7 @@
 		name, value, _ := strings.Cut(header, ":")
 		request.Header.Set(name, value)
 	}
-	response, err := client.Do(request)
+	response, err := scriptClient.Do(request)
 	if err != nil {
 		return "", err
 	}
@@ -161,7 +161,7 @@
 // readyCommand waits until a node is ready: ready OPERATORS-ADDRESS.
 func readyCommand(ts *testscript.TestScript, _ bool, args []string) {
 	waitFor(ts, "node at "+args[0]+" ready", func() bool {
-		response, err := client.Get("http://" + args[0] + "/readyz")
+		response, err := scriptClient.Get("http://" + args[0] + "/readyz")
 		if err != nil {
 			return false
 		}
