--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -226,7 +226,7 @@
 		refused := Refusal(outcome, reason)
 		refused.Meta.ReachedUpstream = true
 		refused.received = head
-		refused.notReceived = reason == call.ReasonRejected && response.Status == http.StatusMisdirectedRequest
+		refused.notReceived = response.Status == http.StatusMisdirectedRequest
 		return refused
 	}
 	g.recordOutcome(response.Status >= http.StatusInternalServerError)
