egress: status 421 is a rejection also with a stamp

Cause: took a 421 with a stamp for garbled, as it did a rejection with one. The platform's pages say that 421 itself means that another upstream got the request and has not run it; nothing shows whether it bears a stamp there, and the caller of a sound one would get 502, and its sender go on with that upstream.

Change: only Not-Executed with a stamp, or with a success, is garbled.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -283,14 +283,15 @@
 // discardReason returns why an answer must not be passed on, "" if it may be.
 func (g *Gate) discardReason(t target, answer platform.ResponseHeaders, response *http1.Response) call.Reason {
 	switch {
+	case response.Status == http.StatusMisdirectedRequest:
+		// Another upstream says so, whatever it adds.
+		g.recordMisdirected(t)
+		return call.ReasonRejected
 	case answer.NotRun() && (answer.Stamped() || response.Status < http.StatusBadRequest):
 		// It also says that the request has run.
 		g.recordOutcome(true)
 		return call.ReasonGarbled
 	case answer.NotRun():
-		if response.Status == http.StatusMisdirectedRequest {
-			g.recordMisdirected(t)
-		}
 		return call.ReasonRejected
 	case !answer.Stamped() || answer.Encoded():
 		g.recordOutcome(true)
