http1: a reset that a write gets does not end a body without a length

Cause: the kernel reports a reset once. If the goroutine that writes the request gets it, a read of the same connection returns the end of the stream, as after an orderly close, and that is what completes a body without a length. The writer then closes the connection, but a read that already runs goes on.

Change: http1.Conn, on which a Pool sends and receives, records the error of a Write, and a Read that sees the end of the stream returns that error. It waits for a Write in progress, which its deadline ends, so that the two cannot pass each other. A server that closes its side first ends the body; later resets are EPIPE then.

--- /dev/null
+++ b/http1/broken_test.go
@@ -0,0 +1,135 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/banyancross/banyancross/clock"
+	"github.com/banyancross/banyancross/http1"
+	"github.com/banyancross/banyancross/standin"
+)
+
+// writeFirstConn lets a Write get the reset of the connection before a Read sees its end, and
+// the Write return only afterwards.
+type writeFirstConn struct {
+	net.Conn
+	writeFailed, readEnded chan struct{}
+	onFailure, onEnd       sync.Once
+}
+
+func (c *writeFirstConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.onFailure.Do(func() { close(c.writeFailed) })
+		<-c.readEnded
+	}
+	return n, err
+}
+
+func (c *writeFirstConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), 1)])
+	if n == 1 && p[0] == '!' {
+		// This is the last byte before the connection ends.
+		<-c.writeFailed
+	}
+	if err != nil {
+		c.onEnd.Do(func() { close(c.readEnded) })
+	}
+	return n, err
+}
+
+// Close waits for the Read in progress, as that of a socket does.
+func (c *writeFirstConn) Close() error {
+	c.onEnd.Do(func() { close(c.readEnded) })
+	return c.Conn.Close()
+}
+
+// endless is a body that comes slowly and does not end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return copy(p, strings.Repeat("x", 1<<10)), nil
+}
+
+// answerEarly serves connections on which it reads the head of a request, answers with text
+// and then ends the connection.
+func answerEarly(text string, end func(*net.TCPConn)) (address string) {
+	listener, err := standin.Listen(func(conn net.Conn) {
+		br := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		end(conn.(*net.TCPConn))
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	return listener.Addr().String()
+}
+
+func reset(conn *net.TCPConn) {
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+var _ = Describe("an early response to a long request that ends with its connection", func() {
+	const body = "part of the body!"
+	exchangeBody := func(address string, out *http1.OutgoingRequest) (string, error) {
+		p := http1.NewPool(address, func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+			return &writeFirstConn{Conn: conn, writeFailed: make(chan struct{}), readEnded: make(chan struct{})}, err
+		}, clock.System{}, time.Minute)
+		DeferCleanup(p.Close)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		response, err := p.Do(ctx, out)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Release()
+		data, err := io.ReadAll(response.Body)
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		return string(data), err
+	}
+	chunked := func() *http1.OutgoingRequest {
+		return &http1.OutgoingRequest{Method: http.MethodPost, Target: "/", Host: "x", Header: http.Header{}, Body: []byte("x"), Rest: endless{}}
+	}
+	withLength := func() *http1.OutgoingRequest {
+		return &http1.OutgoingRequest{Method: http.MethodPost, Target: "/", Host: "x", Header: http.Header{}, Body: make([]byte, 64<<20)}
+	}
+
+	DescribeTable("is not complete if a write of the request gets the reset", func(head string, out func() *http1.OutgoingRequest) {
+		data, err := exchangeBody(answerEarly(head+"\r\n"+body, reset), out())
+		Expect(data).To(Equal(body))
+		Expect(err).To(MatchError(ContainSubstring("reset")))
+	},
+		Entry("in chunks", "HTTP/1.1 200 OK\r\n", chunked),
+		Entry("with a length", "HTTP/1.1 200 OK\r\n", withLength),
+		Entry("with Connection: close", "HTTP/1.1 200 OK\r\nConnection: close\r\n", chunked),
+		Entry("to HTTP/1.0", "HTTP/1.0 200 OK\r\n", chunked),
+		Entry("to HTTP/1.0, with Connection: close", "HTTP/1.0 200 OK\r\nConnection: close\r\n", chunked),
+	)
+
+	DescribeTable("is complete if the server closes the connection before the request ends", func(out func() *http1.OutgoingRequest) {
+		data, err := exchangeBody(answerEarly(fmt.Sprintf("HTTP/1.1 200 OK\r\n\r\n%s", body), func(conn *net.TCPConn) {
+			// A reset that comes after the end of the stream belongs to the request.
+			_ = conn.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+		}), out())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(data).To(Equal(body))
+	},
+		Entry("in chunks", chunked),
+		Entry("with a length", withLength),
+	)
+})
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -129,7 +129,7 @@
 	number uint64
 	// exchanges counts the requests sent.
 	exchanges uint64
-	conn      net.Conn
+	conn      *Conn
 	limited   *limitedReader
 	br        *bufio.Reader
 	idleSince time.Time
@@ -154,7 +154,7 @@
 		if c == nil {
 			return nil
 		}
-		open, unread := reusable(c.conn)
+		open, unread := reusable(c.conn.NetConn())
 		unread = unread || c.br.Buffered() > 0
 		switch {
 		case unread:
@@ -213,8 +213,9 @@
 	p.opened++
 	number := p.opened
 	p.mu.Unlock()
-	limited := &limitedReader{source: conn, remaining: unlimited}
-	return &clientConn{pool: p, number: number, conn: conn, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, nil
+	checked := NewConn(conn)
+	limited := &limitedReader{source: checked, remaining: unlimited}
+	return &clientConn{pool: p, number: number, conn: checked, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
 
 // Do sends a request once and returns the response, whose Release must be called.
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -265,6 +265,11 @@
 		answerEarly(w, r, []byte(b.instance))
 		return
 	}
+	if head, ok := earlyResetHeads[fault]; ok {
+		b.recordRun(Run{ID: id, Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get("Caller-Service"), Early: true, At: time.Now()})
+		b.resetEarly(w, head, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Fault is a fault that a Backend injects into one request.
@@ -47,6 +50,13 @@
 	FaultRunUnavailable Fault = "run-unavailable"
 	FaultRunLimited     Fault = "run-limited"
 	FaultRunTimeout     Fault = "run-timeout"
+	// FaultEarlyReset, FaultEarlyResetClose, FaultOldEarlyReset and FaultOldEarlyResetClose send
+	// a part of an answer without a length before the body of the request has been read, and
+	// reset the connection: with HTTP/1.1 or HTTP/1.0, and without or with Connection: close.
+	FaultEarlyReset         Fault = "early-reset"
+	FaultEarlyResetClose    Fault = "early-reset-close"
+	FaultOldEarlyReset      Fault = "old-early-reset"
+	FaultOldEarlyResetClose Fault = "old-early-reset-close"
 	// FaultMalformed sends bytes that are not an HTTP response.
 	FaultMalformed Fault = "noise"
 )
@@ -99,6 +109,14 @@
 	FaultRunTimeout:     http.StatusRequestTimeout,
 }
 
+// earlyResetHeads holds the starts of answers whose connection is reset.
+var earlyResetHeads = map[Fault]string{
+	FaultEarlyReset:         "HTTP/1.1 200 OK\r\n",
+	FaultEarlyResetClose:    "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+	FaultOldEarlyReset:      "HTTP/1.0 200 OK\r\n",
+	FaultOldEarlyResetClose: "HTTP/1.0 200 OK\r\nConnection: close\r\n",
+}
+
 // writeAnswer sends the answer. Faults of the framing bypass net/http, which would
 // not write them.
 func (b *Backend) writeAnswer(w http.ResponseWriter, r *http.Request, fault Fault, id string, body []byte) {
@@ -161,6 +179,20 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 }
 
+// resetEarly sends a part of an answer, and resets the connection 15 to 30 ms later.
+func (b *Backend) resetEarly(w http.ResponseWriter, head, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "%sRequest-Id: %s\r\nResponse-Stamp: s\r\n\r\npart", head, id)
+	time.Sleep(15*time.Millisecond + rand.N(15*time.Millisecond))
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // writeRaw writes text to the connection as it is, and closes the connection.
 func (b *Backend) writeRaw(w http.ResponseWriter, text string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
