upstream: a reset that a write gets does not end an answer without a length

Callers of the project's own interface got a part of an answer as a complete one (MIXED), and a keyed call kept it for resends, where the backend server answers a long upload with 200 and no length, sends a part and resets the connection.

Change: the connections to the backend server are http1.Conn. net/http takes the reset that Read returns for what it is.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/banyancross/banyancross/hop"
+	"github.com/banyancross/banyancross/http1"
 )
 
 const (
@@ -45,7 +46,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return &countingConn{Conn: http1.NewConn(conn)}, nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
