http1: a folded line makes a response malformed

An upstream in trouble sends a field whose name starts with a blank, such as " Transfer-Encoding: chunked".

Cause: net/textproto joins a line that starts with a blank or a tab to the one before, so that the check of names never saw it. It does so in interim heads too.

Change: readFields reads the fields of a response line by line, and a line that starts with a blank is no field. It also checks values for control bytes, as textproto did. RFC 9112 section 5.2 lets a gateway discard such a response. Requests are read as before.

Evidence: eight specs failed before: a blank or a tab before the name, a folded line, and a line of blanks, in a head and in an interim head. They pass now. Handled before, and kept as specs: statuses that are not three digits from 100 to 599, also 000; blanks within or behind a name, control bytes in a name or a value.

--- a/http1/broken_test.go
+++ b/http1/broken_test.go
@@ -133,3 +133,74 @@
 		Entry("with a length", withLength),
 	)
 })
+
+// malformedStatuses are status codes that no final response may have.
+var malformedStatuses = []string{"000", "001", "099", "600", "999", "-01", "+20", "20", "2000", "", "2 0", "abc"}
+
+// malformedFields are lines that are no field of a head.
+var malformedFields = []struct{ name, line string }{
+	{"a blank in the name", "Na me: v"},
+	{"a blank before the colon", "Transfer-Encoding : chunked"},
+	{"a tab before the colon", "Content-Length\t: 1"},
+	{"a blank before the name", " Transfer-Encoding: chunked"},
+	{"a tab before the name", "\tContent-Length: 1"},
+	{"a line folded into the one above", " folded"},
+	{"blanks only", "  "},
+	{"a control byte in the name", "Na\x01me: v"},
+	{"a control byte before the name", "\x01Content-Length: 1"},
+	{"a null byte in the name", "Content-Length\x00: 1"},
+	{"a carriage return in the name", "Na\rme: v"},
+	{"DEL in the name", "Name\x7f: v"},
+	{"no name", ": v"},
+	{"no colon", "Name"},
+	{"a byte beyond ASCII in the name", "N\xc3\xa4me: v"},
+	{"a null byte in the value", "Name: a\x00b"},
+	{"a carriage return in the value", "Name: a\rContent-Length: 1"},
+	{"a control byte in the value", "Name: a\x1bb"},
+}
+
+var _ = Describe("a response", func() {
+	receive := func(text string) (string, error) {
+		p := onceTo(text)
+		DeferCleanup(p.Close)
+		return exchange(p, &http1.OutgoingRequest{Method: http.MethodPost, Target: "/", Host: "x", Header: http.Header{}})
+	}
+	var statuses, heads, interims []any
+	for _, status := range malformedStatuses {
+		statuses = append(statuses, Entry(fmt.Sprintf("%q", status), status))
+	}
+	for _, field := range malformedFields {
+		heads = append(heads, Entry(field.name, field.line))
+		interims = append(interims, Entry(field.name, field.line))
+	}
+
+	DescribeTable("with a malformed status is no response", append([]any{func(status string) {
+		_, err := receive("HTTP/1.1 " + status + " OK\r\nContent-Length: 4\r\n\r\nbody")
+		Expect(http1.KindOf(err)).To(Equal(http1.KindNoAnswer))
+		_, err = receive("HTTP/1.1 " + status + " OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		Expect(http1.KindOf(err)).To(Equal(http1.KindNoAnswer), "as an interim one")
+	}}, statuses...)...)
+
+	DescribeTable("with a malformed line in its head is no response", append([]any{func(line string) {
+		for _, text := range []string{
+			"HTTP/1.1 200 OK\r\nField: v\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + line + "\r\n\r\nbody",
+			"HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nbody",
+		} {
+			_, err := receive(text)
+			Expect(http1.KindOf(err)).To(Equal(http1.KindNoAnswer), "%q", text)
+		}
+	}}, heads...)...)
+
+	DescribeTable("with a malformed line in an interim head is no response", append([]any{func(line string) {
+		_, err := receive("HTTP/1.1 103 Early Hints\r\nField: v\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		Expect(http1.KindOf(err)).To(Equal(http1.KindNoAnswer))
+	}}, interims...)...)
+
+	It("may have any bytes that a value can have, and none after the colon", func() {
+		body, err := receive("HTTP/1.1 103 Early Hints\r\nLink: <a>; rel=preload\r\n\r\n" +
+			"HTTP/1.1 200 OK\r\nEmpty:\r\nTab:\ta\tb \r\nLatin: \xe4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nField: v\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("body"))
+	})
+})
--- a/http1/head.go
+++ b/http1/head.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/textproto"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -153,10 +152,27 @@
 // may ignore a space in a field name, and so frame the message differently.
 func validFieldNames(header http.Header) bool {
 	for name := range header {
-		for i := 0; i < len(name); i++ {
-			if c := name[i]; c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
-				return false
-			}
+		if !validFieldName(name) {
+			return false
+		}
+	}
+	return true
+}
+
+func validFieldName(name string) bool {
+	for i := 0; i < len(name); i++ {
+		if c := name[i]; c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// validFieldValue reports whether a value has no control bytes but tabs.
+func validFieldValue(value string) bool {
+	for i := 0; i < len(value); i++ {
+		if c := value[i]; (c < ' ' && c != '\t') || c == 0x7f {
+			return false
 		}
 	}
 	return true
@@ -213,19 +229,11 @@
 	if !ok || err != nil || len(code) != 3 || status < 100 || status > 599 || (proto != "HTTP/1.1" && proto != "HTTP/1.0") || containsStatusLine(phrase) {
 		return nil, newError("read response", KindMalformed, eris.New("malformed status line"))
 	}
-	mime, err := tp.ReadMIMEHeader()
+	header, err := readFields(tp)
 	if err != nil {
-		return nil, classifyHeadError(err)
-	}
-	r := &Response{Status: status, Header: http.Header(mime)}
-	if !validFieldNames(r.Header) {
-		return nil, newError("read response", KindMalformed, eris.New("invalid field name"))
-	}
-	for _, values := range r.Header {
-		if slices.ContainsFunc(values, containsStatusLine) {
-			return nil, newError("read response", KindMalformed, eris.New("status line within the head"))
-		}
+		return nil, err
 	}
+	r := &Response{Status: status, Header: header}
 	r.keepAlive = proto == "HTTP/1.1" && !hasToken(r.Header, "Connection", "close")
 	length, err := bodyLength(r.Header, proto)
 	if err != nil {
@@ -243,6 +251,29 @@
 	return r, nil
 }
 
+// readFields reads the fields of a response up to the empty line. A folded line is none:
+// what it holds may be a field whose name starts with a space.
+func readFields(tp *textproto.Reader) (http.Header, error) {
+	header := http.Header{}
+	for {
+		line, err := tp.ReadLine()
+		if err != nil {
+			return nil, classifyHeadError(err)
+		}
+		if line == "" {
+			return header, nil
+		}
+		name, value, found := strings.Cut(line, ":")
+		if !found || !validFieldName(name) || !validFieldValue(value) {
+			return nil, newError("read fields", KindMalformed, eris.New("invalid field"))
+		}
+		if containsStatusLine(value) {
+			return nil, newError("read fields", KindMalformed, eris.New("status line within a field"))
+		}
+		header.Add(name, strings.Trim(value, " \t"))
+	}
+}
+
 // containsStatusLine reports whether text contains the start of a status line. If a response
 // breaks off within its head, that of the next one on the connection stands in the middle
 // of a line, and the head would mix both.
