http1: a malformed trailer section makes a body incomplete

A body in chunks counted as complete if a line of its trailer section was folded or had a blank in its name, so that callers got an answer whose end was broken as a whole one.

Cause: trailer fields are discarded, and net/textproto, which accepts both, was their only check. A break within them was not told from the next response on the connection.

Change: readFields, which reads heads, reads them as well, with its checks, and also those of a request: one with such a section is malformed, as with any other bad line.

Evidence: six specs failed before: a blank in the name, before the colon and before the name, a tab before it, a folded line, a line of blanks. They pass now. Other control bytes and lines without a colon were refused before.

--- a/http1/body.go
+++ b/http1/body.go
@@ -88,14 +88,14 @@
 func (b *Body) readTrailer() error {
 	b.limited.remaining = maxTrailer
 	defer func() { b.limited.remaining = unlimited }()
-	_, err := textproto.NewReader(b.source).ReadMIMEHeader()
+	_, err := readFields(textproto.NewReader(b.source))
 	switch err {
 	case nil:
 		return io.EOF
 	case io.EOF:
 		return io.ErrUnexpectedEOF
 	}
-	return classifyHeadError(err)
+	return err
 }
 
 // Buffer reads up to limit bytes and reports whether they complete the body.
--- a/http1/broken_test.go
+++ b/http1/broken_test.go
@@ -137,7 +137,7 @@
 // malformedStatuses are status codes that no final response may have.
 var malformedStatuses = []string{"000", "001", "099", "600", "999", "-01", "+20", "20", "2000", "", "2 0", "abc"}
 
-// malformedFields are lines that are no field of a head.
+// malformedFields are lines that are no field of a head or a trailer section.
 var malformedFields = []struct{ name, line string }{
 	{"a blank in the name", "Na me: v"},
 	{"a blank before the colon", "Transfer-Encoding : chunked"},
@@ -165,13 +165,14 @@
 		DeferCleanup(p.Close)
 		return exchange(p, &http1.OutgoingRequest{Method: http.MethodPost, Target: "/", Host: "x", Header: http.Header{}})
 	}
-	var statuses, heads, interims []any
+	var statuses, heads, interims, trailers []any
 	for _, status := range malformedStatuses {
 		statuses = append(statuses, Entry(fmt.Sprintf("%q", status), status))
 	}
 	for _, field := range malformedFields {
 		heads = append(heads, Entry(field.name, field.line))
 		interims = append(interims, Entry(field.name, field.line))
+		trailers = append(trailers, Entry(field.name, field.line))
 	}
 
 	DescribeTable("with a malformed status is no response", append([]any{func(status string) {
@@ -197,6 +198,11 @@
 		Expect(http1.KindOf(err)).To(Equal(http1.KindNoAnswer))
 	}}, interims...)...)
 
+	DescribeTable("with a malformed line in its trailer section is not complete", append([]any{func(line string) {
+		_, err := receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nField: v\r\n" + line + "\r\n\r\n")
+		Expect(err).To(HaveOccurred())
+	}}, trailers...)...)
+
 	It("may have any bytes that a value can have, and none after the colon", func() {
 		body, err := receive("HTTP/1.1 103 Early Hints\r\nLink: <a>; rel=preload\r\n\r\n" +
 			"HTTP/1.1 200 OK\r\nEmpty:\r\nTab:\ta\tb \r\nLatin: \xe4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nField: v\r\n\r\n")
