http1: status 101 is no response and no interim one

An upstream in trouble sends a 101 and then other bytes. Callers got what followed as the response to their request, though it is in another protocol.

Cause: 101 counted as an interim response like any other below 200. Requests are sent without Upgrade, so it answers none.

Change: a response with status 101 is malformed; the outcome of the call is unknown.

Evidence: the spec of 101 failed before, with a 200 taken from what followed, and passes now.

--- a/http1/broken_test.go
+++ b/http1/broken_test.go
@@ -135,7 +135,7 @@
 })
 
 // malformedStatuses are status codes that no final response may have.
-var malformedStatuses = []string{"000", "001", "099", "600", "999", "-01", "+20", "20", "2000", "", "2 0", "abc"}
+var malformedStatuses = []string{"000", "001", "099", "101", "600", "999", "-01", "+20", "20", "2000", "", "2 0", "abc"}
 
 // malformedFields are lines that are no field of a head or a trailer section.
 var malformedFields = []struct{ name, line string }{
--- a/http1/head.go
+++ b/http1/head.go
@@ -229,6 +229,10 @@
 	if !ok || err != nil || len(code) != 3 || status < 100 || status > 599 || (proto != "HTTP/1.1" && proto != "HTTP/1.0") || containsStatusLine(phrase) {
 		return nil, newError("read response", KindMalformed, eris.New("malformed status line"))
 	}
+	if status == http.StatusSwitchingProtocols {
+		// No request asks for another protocol, and what follows would be in it.
+		return nil, newError("read response", KindMalformed, eris.New("switch to another protocol"))
+	}
 	header, err := readFields(tp)
 	if err != nil {
 		return nil, err
