--- a/http1/head.go
+++ b/http1/head.go
@@ -272,7 +272,7 @@
 			return nil, newError("read fields", KindMalformed, eris.New("invalid field"))
 		}
 		if containsStatusLine(value) {
-			return nil, newError("read fields", KindMalformed, eris.New("status line within a field"))
+			return nil, newError("read fields", KindMalformed, eris.New("status line within the head"))
 		}
 		header.Add(name, strings.Trim(value, " \t"))
 	}
