egress: a rejection that breaks off is no promise

Callers of requests that are not idempotent were told that they had not run (REFUSED) by an upstream's 503, 429 or 421 whose body broke off.

Cause: a rejection was taken from its head, and its connection closed with the body unread. A response that breaks off may be a part of one, so it says nothing certain of the run; a success with such a body is refused already.

Change: the gate reads the body of a rejection, up to 64 KiB, before it reports that the call has not run. If it is not complete, the outcome is unknown with reason cut, and the upstream counts as failing. A connection whose rejection was read is kept.

Evidence: seven specs failed before with "not-run": 503 that breaks off within its length, before its body, within a chunk, without its last chunk, or with a malformed trailer section, 429 and 421 that break off. They pass now; four whole rejections passed before and after.

--- a/egress/attempt.go
+++ b/egress/attempt.go
@@ -215,7 +215,11 @@
 	answer := platform.ReadResponseHeaders(response.Status, response.Header)
 	head := received{status: response.Status, connection: response.Connection(), exchange: response.Exchange(), stamped: answer.Stamped()}
 	g.recordReport(t, answer, response.Header)
-	if reason := g.discardReason(t, answer, response); reason != "" {
+	reason := g.discardReason(t, answer, response)
+	if reason == call.ReasonRejected && !g.readRejection(response) {
+		reason = call.ReasonCut
+	}
+	if reason != "" {
 		response.Release()
 		finish(false)
 		outcome := call.Unknown
@@ -226,7 +230,7 @@
 		refused := Refusal(outcome, reason)
 		refused.Meta.ReachedUpstream = true
 		refused.received = head
-		refused.notReceived = response.Status == http.StatusMisdirectedRequest
+		refused.notReceived = reason == call.ReasonRejected && response.Status == http.StatusMisdirectedRequest
 		return refused
 	}
 	g.recordOutcome(response.Status >= http.StatusInternalServerError)
@@ -300,6 +304,20 @@
 	return ""
 }
 
+// maxRejectionBody bounds the body of a rejection, in bytes.
+const maxRejectionBody = 64 << 10
+
+// readRejection reads the body of a rejection and reports whether it is complete. One that
+// breaks off promises nothing.
+func (g *Gate) readRejection(response *http1.Response) bool {
+	_, whole, err := response.Body.Buffer(maxRejectionBody)
+	if err != nil || !whole {
+		g.recordOutcome(true)
+		return false
+	}
+	return true
+}
+
 // failureAnswer returns the answer to a call that failed with err.
 func (g *Gate) failureAnswer(ctx context.Context, t target, meta hop.Meta, err error) *Answer {
 	if http1.KindOf(err) == http1.KindNotSent {
