upstream: a malformed head is no answer, and no sign of health

Callers of the project's own interface got answers with statuses 600, 999 and 101, and with a blank in a field's name or a folded line in the head, with that line and with the bytes behind it as the body: the sizes of chunks, or bytes beyond the length that the upstream gave. Status 000 closed the caller's connection. A keyed call kept such an answer for resends, a status in reject-statuses was a promise, and a probe that got status 000 counted its upstream as healthy.

Cause: net/http reads those responses. It takes any three digits for a status, keeps names with blanks as they are, so that they frame nothing, joins folded lines to the one before, and reads chunks of HTTP/1.0 as a body. The gate checked nothing of it.

Change: http1.Inspector follows the bytes that net/http reads, from each request on, and checks the head and the interim heads before it with the reader of http1. At a malformed one it withholds the end of the head and fails the read, so that net/http neither takes the response nor sends the call again. Connections of calls and of probes use it. Both Content-Length and Transfer-Encoding, or one of them twice, are malformed too, as in http1.

A control byte in a name or a value was refused before.

--- /dev/null
+++ b/http1/inspector.go
@@ -0,0 +1,83 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"sync"
+)
+
+// An Inspector checks the responses that net/http reads from a connection as a Pool checks
+// those that it reads itself: heads and interim heads. net/http accepts
+// statuses and field names that are malformed, and joins folded lines. It is safe for concurrent use.
+type Inspector struct {
+	mu      sync.Mutex
+	section section
+	// text is the part of the head that has come.
+	text []byte
+	err  error
+}
+
+// section is a part of a response.
+type section int
+
+const (
+	sectionBody section = iota
+	sectionHead
+)
+
+// Begin tells that a request is about to be sent, so that a head comes next.
+func (i *Inspector) Begin() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.enter(sectionHead)
+}
+
+func (i *Inspector) enter(s section) { i.section, i.text = s, i.text[:0] }
+
+// Inspect checks the next bytes of the connection. With an error, which is the same from then
+// on, it returns how many of them may be passed on: those before the end of the malformed
+// section, without which no reader takes it for complete.
+func (i *Inspector) Inspect(data []byte) (valid int, err error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for i.err == nil && valid < len(data) {
+		rest := data[valid:]
+		switch i.section {
+		case sectionBody:
+			return len(data), nil
+		default:
+			line, _, ended := bytes.Cut(rest, []byte("\n"))
+			i.text = append(i.text, line...)
+			valid += len(line)
+			switch {
+			case len(i.text) > maxResponseHead:
+				i.err = errHeadTooLarge
+			case ended:
+				i.text = append(i.text, '\n')
+				if i.err = i.endLine(); i.err == nil {
+					valid++
+				}
+			}
+		}
+	}
+	return valid, i.err
+}
+
+// endLine handles the end of a line, which may be that of the head.
+func (i *Inspector) endLine() error {
+	if last := i.text[bytes.LastIndexByte(i.text[:len(i.text)-1], '\n')+1:]; len(bytes.TrimRight(last, "\r\n")) > 0 {
+		return nil
+	}
+	reader := bufio.NewReaderSize(bytes.NewReader(i.text), len(i.text))
+	response, err := readResponse(reader, &limitedReader{}, http.MethodGet)
+	switch {
+	case err != nil:
+		return err
+	case response.Status < http.StatusOK:
+		i.enter(sectionHead)
+	default:
+		i.enter(sectionBody)
+	}
+	return nil
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -39,15 +39,8 @@
 }
 
 func newClient(address string, connections int) *client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &client{address: address, transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: http1.NewConn(conn)}, nil
-		},
+		DialContext:            dial,
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    256,
@@ -58,16 +51,49 @@
 
 func (c *client) close() { c.transport.CloseIdleConnections() }
 
-// countingConn counts the bytes written to a connection until stopWrites.
-type countingConn struct {
+// serverConn is a connection to the backend server. It counts the bytes written until
+// stopWrites, and Read fails at a response that is malformed.
+type serverConn struct {
 	net.Conn
-	mu      sync.Mutex
-	written int64
-	stopped bool
+	inspector http1.Inspector
+	mu        sync.Mutex
+	written   int64
+	stopped   bool
+}
+
+// dial opens a serverConn for a transport.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &serverConn{Conn: http1.NewConn(conn)}, nil
+}
+
+// withConn returns a context with which a transport calls onConn before it sends a request
+// on a serverConn. Each request needs one, so that its response is checked from its start.
+func withConn(ctx context.Context, onConn func(conn *serverConn, reused bool)) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*serverConn); ok {
+			conn.inspector.Begin()
+			onConn(conn, info.Reused)
+		}
+	}})
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	valid, malformed := c.inspector.Inspect(data[:n])
+	if malformed != nil {
+		return valid, malformed
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
-func (c *countingConn) Write(data []byte) (int, error) {
+func (c *serverConn) Write(data []byte) (int, error) {
 	c.mu.Lock()
 	if c.stopped {
 		c.mu.Unlock()
@@ -78,7 +104,7 @@
 	return c.Conn.Write(data)
 }
 
-func (c *countingConn) bytesWritten() int64 {
+func (c *serverConn) bytesWritten() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.written
@@ -87,7 +113,7 @@
 // stopWrites makes later writes fail and returns the number of bytes written.
 // Without it, net/http could still write a call after its RoundTrip returned an
 // error.
-func (c *countingConn) stopWrites() int64 {
+func (c *serverConn) stopWrites() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopped = true
@@ -108,17 +134,13 @@
 // roundTrip sends one call, and closes its connection after the response unless the
 // connection is to be reused.
 func (c *client) roundTrip(ctx context.Context, meta hop.Meta, request *http.Request, reuse bool) (exchange, error) {
-	var conn *countingConn
+	var conn *serverConn
 	var before int64
 	var e exchange
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		e.reused = info.Reused
-		conn, _ = info.Conn.(*countingConn)
-		if conn != nil {
-			before = conn.bytesWritten()
-		}
-	}}
-	outgoing := c.outgoing(httptrace.WithClientTrace(ctx, trace), meta, request)
+	ctx = withConn(ctx, func(used *serverConn, reused bool) {
+		conn, before, e.reused = used, used.bytesWritten(), reused
+	})
+	outgoing := c.outgoing(ctx, meta, request)
 	outgoing.Close = !reuse
 	response, err := c.transport.RoundTrip(outgoing) //nolint:bodyclose // closed when the answer is written
 	if err != nil {
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -33,7 +33,7 @@
 func NewProber(gate *Gate) *Prober {
 	return &Prober{
 		gate:         gate,
-		client:       &http.Client{Timeout: probeTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
+		client:       &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, DisableCompression: true}},
 		probeLimiter: rate.NewLimiter(0, 1),
 		byteLimiter:  rate.NewLimiter(0, maxProbeBytes),
 	}
@@ -62,6 +62,7 @@
 // healthy, which any status below 500 means.
 func (p *Prober) Probe(ctx context.Context) bool {
 	announcement := p.gate.Announcement()
+	ctx = withConn(ctx, func(*serverConn, bool) {})
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet,
 		"http://"+announcement.Address+announcement.HealthPath, http.NoBody)
 	if err != nil {
