upstream: a rejection that breaks off is no promise

Callers of the project's own interface were told that their call had not run by an answer with a status of reject-statuses whose body broke off.

Change: the gate reads the body, up to 64 KiB, before it reports that the call has not run. If it is not complete, the outcome is unknown with reason cut.

Evidence: two specs failed before with "not-run": a 503 that breaks off within its length, and one without its last chunk. They pass now.

--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -268,10 +269,10 @@
 	g.lastAnswerUnixNano.Store(g.clock.Now().UnixNano())
 	response := e.response
 	if slices.Contains(rejectStatuses, response.StatusCode) {
-		_ = response.Body.Close()
+		whole := readRejection(response)
 		finish(false)
 		refusal := call.Refuse(call.NotRun, call.ReasonRejected)
-		if e.reused {
+		if e.reused || !whole {
 			refusal = call.Refuse(call.Unknown, call.ReasonCut)
 		}
 		answer := hop.Refusal(meta, refusal)
@@ -284,6 +285,17 @@
 	return &hop.Answer{Meta: hop.AnswerMeta{Outcome: call.Answered, ReachedUpstream: true}, Response: response}
 }
 
+// maxRejectionBytes bounds the body of a rejection.
+const maxRejectionBytes = 64 << 10
+
+// readRejection reads and closes the body of a rejection and reports whether it is complete.
+// One that breaks off promises nothing.
+func readRejection(response *http.Response) bool {
+	defer func() { _ = response.Body.Close() }()
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRejectionBytes+1))
+	return err == nil && n <= maxRejectionBytes
+}
+
 // handleSendError returns the answer to a call that the upstream did not answer.
 func (g *Gate) handleSendError(ctx context.Context, meta hop.Meta, sent bool, err error, finish func(bool)) *hop.Answer {
 	if isConnectionRefused(err) {
