upstream: a malformed trailer section makes an answer incomplete

Callers of the project's own interface got an answer in chunks as complete though a line of its trailer section was folded, had a blank in its name, or was the status line of another response; with a status in reject-statuses it was a promise.

Cause: net/http reads trailers as laxly as heads, and the Inspector ended with the head.

Change: the Inspector follows the chunks of a body to its trailer section and checks that as http1 does. It withholds the end of a malformed one, so that the body has none.

--- a/http1/broken_test.go
+++ b/http1/broken_test.go
@@ -210,3 +210,61 @@
 		Expect(body).To(Equal("body"))
 	})
 })
+
+var _ = Describe("an inspector", func() {
+	// inspect passes text through an inspector in pieces, and returns what may be passed on.
+	inspect := func(text string, size int) (passed string, err error) {
+		var inspector http1.Inspector
+		inspector.Begin()
+		for start := 0; start < len(text); start += size {
+			piece := text[start:min(start+size, len(text))]
+			valid, pieceErr := inspector.Inspect([]byte(piece))
+			passed += piece[:valid]
+			if pieceErr != nil {
+				return passed, pieceErr
+			}
+		}
+		return passed, nil
+	}
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
+
+	It("passes on sound responses, whatever the pieces they come in", func() {
+		for _, text := range []string{
+			interim + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nb\r\n \r\nA\r\n\r\n\r\nNa me:\r\n\r\n0\r\nField: v\r\n\r\n",
+			"HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n1\nx\r\n0\n\n",
+			"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nNa me:\r\n\r\n",
+			"HTTP/1.0 200 OK\r\n\r\nNa me:\r\n\r\n",
+			"HTTP/1.1 204 No Content\r\n\r\n",
+		} {
+			for size := range len(text) {
+				passed, err := inspect(text, size+1)
+				Expect(err).NotTo(HaveOccurred(), "%q", text)
+				Expect(passed).To(Equal(text))
+			}
+		}
+	})
+
+	It("withholds the end of a malformed section, whatever the pieces it comes in", func() {
+		for _, field := range malformedFields {
+			for _, before := range []string{
+				"HTTP/1.1 200 OK\r\nField: v\r\n",
+				"HTTP/1.1 103 Early Hints\r\nField: v\r\n",
+				interim + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nField: v\r\n",
+			} {
+				section := before + field.line + "\r\n\r\n"
+				text := section + "HTTP/1.1 200 OK\r\n\r\n"
+				for size := range len(text) {
+					passed, err := inspect(text, size+1)
+					Expect(http1.KindOf(err)).To(Equal(http1.KindMalformed), "%q", text)
+					Expect(passed).To(Equal(section[:len(section)-1]))
+				}
+			}
+		}
+	})
+
+	It("fails at a section that does not end", func() {
+		passed, err := inspect("HTTP/1.1 200 OK\r\n"+strings.Repeat("Field: v\r\n", 16<<10), 4096)
+		Expect(err).To(HaveOccurred())
+		Expect(len(passed)).To(BeNumerically("<", 80<<10))
+	})
+})
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -128,6 +128,9 @@
 	{"chunks of HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"},
 	{"a blank in a name of an interim head", "HTTP/1.1 103 Early Hints\r\nNa me: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart"},
 	{"a folded line in an interim head", "HTTP/1.1 103 Early Hints\r\nField: v\r\n folded\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart"},
+	{"a blank in a name of the trailer section", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nNa me: v\r\n\r\n"},
+	{"a folded line in the trailer section", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nField: v\r\n folded\r\n\r\n"},
+	{"a second response as a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nField: HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore"},
 	{"a body that breaks off", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart"},
 	{"chunks that break off", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
 }
