hop: a status that is no final one is neither sent nor accepted

A gate's answer with status 600 or 999 went on to the entry node and its caller, 100, 101 and 199 became a 200 with the gate's answer in it, and 0 and 99 made the handler of the receiving node panic, which net/http recovers, so that the gate's outcome and load were lost.

Cause: the node wrote whatever status the gate's response had, and the entry node took any that came.

--- a/hop/client.go
+++ b/hop/client.go
@@ -109,7 +109,7 @@
 func readAnswer(meta Meta, response *http.Response) *Answer {
 	var answerMeta AnswerMeta
 	err := decode(response.Header.Get(answerHeader), &answerMeta)
-	if err != nil || answerMeta.ID != meta.ID {
+	if err != nil || answerMeta.ID != meta.ID || !isFinal(response.StatusCode) {
 		_ = response.Body.Close()
 		return Refusal(meta, call.Refuse(call.Unknown, call.ReasonCut))
 	}
--- a/hop/server.go
+++ b/hop/server.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/banyancross/banyancross/call"
 )
 
 // Gate is the admission gate in front of an upstream. Do returns the answer to an
@@ -31,8 +33,13 @@
 
 // WriteAnswer sends an answer to another node. If the body breaks off, it panics
 // with http.ErrAbortHandler, which resets the stream, so that the reader does not
-// take the body for complete.
+// take the body for complete. A response whose status is no final one is not sent.
 func WriteAnswer(w http.ResponseWriter, answer *Answer) {
+	if answer.Response != nil && !isFinal(answer.Response.StatusCode) {
+		_ = answer.Response.Body.Close()
+		answer = &Answer{Meta: answer.Meta}
+		answer.Meta.Outcome, answer.Meta.Reason = call.Unknown, call.ReasonCut
+	}
 	value, err := encode(answer.Meta)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -50,6 +57,9 @@
 	}
 }
 
+// isFinal reports whether a response with the status answers a request.
+func isFinal(status int) bool { return status >= http.StatusOK && status <= 599 }
+
 // writeTimeout bounds each write of a streamed response.
 const writeTimeout = 30 * time.Second
 
