--- a/http1/doc.go
+++ b/http1/doc.go
@@ -10,5 +10,7 @@
 // OutgoingRequest.ID on one connection. Surplus responses are told to an observer.
 //
 // A message is framed by one Content-Length or by chunks, never by both. Messages
-// with ambiguous framing are rejected.
+// with ambiguous framing are rejected, and so are responses with a malformed status, field
+// or trailer section. Where responses are read by net/http, a Conn and an Inspector tell broken
+// ones in the same way.
 package http1
--- a/http1/head.go
+++ b/http1/head.go
@@ -255,8 +255,8 @@
 	return r, nil
 }
 
-// readFields reads the fields of a head or a trailer section up to the empty line. A folded line is none:
-// what it holds may be a field whose name starts with a space.
+// readFields reads the fields of a response's head or of a trailer section, up to the empty
+// line. A folded line is malformed: it may be a field whose name starts with a space.
 func readFields(tp *textproto.Reader) (http.Header, error) {
 	header := http.Header{}
 	for {
--- a/http1/inspector.go
+++ b/http1/inspector.go
@@ -12,11 +12,13 @@
 
 // An Inspector checks the responses that net/http reads from a connection as a Pool checks
 // those that it reads itself: heads, interim heads and trailer sections. net/http accepts
-// statuses and field names that are malformed, and joins folded lines. It is safe for concurrent use.
+// statuses and field names that are malformed, and joins folded lines. An Inspector is safe
+// for concurrent use.
 type Inspector struct {
 	mu      sync.Mutex
 	section section
-	// text is the section or the line that has not ended yet.
+	// text is the head or the trailer section, or the line with the size of a chunk, as far as
+	// it has come.
 	text []byte
 	// remaining is how much of a chunk is left, with the line end behind it, in bytes.
 	remaining int64
