entry: an answer that breaks off resets the connection of a caller with HTTP/1.0

Cause: such a caller gets the body without chunks, so that the end of the connection is the end of the body. The entry node aborts the response, and net/http closes the connection in order.

Change: the entry node takes the connection of such a caller and resets it. Callers with HTTP/1.1 miss the last chunk or a part of the length, as before.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -81,6 +82,19 @@
 	return hop.CopyResponse(w, response) == nil
 }
 
+// reset resets the caller's connection. Without chunks, an orderly close would end a body of
+// unknown length as if it were complete.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // ticketDocument is the JSON body of a ticket.
 type ticketDocument struct {
 	Key string `json:"idempotency-key"`
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -227,6 +227,9 @@
 	}
 	failed := answer.Response.StatusCode >= http.StatusInternalServerError
 	if !writeAnswer(w, answer) {
+		if !r.ProtoAtLeast(1, 1) {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	completion = totals.Completion{Outcome: call.Answered, Failed: failed, Late: late}
