--- a/http1/merged_forms_test.go
+++ b/http1/merged_forms_test.go
@@ -14,16 +14,21 @@
 	"github.com/banyancross/banyancross/http1"
 )
 
-// onceTo returns a pool whose server reads a request, writes text and closes.
+// answeringPipe returns a connection whose server reads a request, writes text and closes.
+func answeringPipe(text string) net.Conn {
+	client, server := net.Pipe()
+	go func() {
+		_, _ = server.Read(make([]byte, 4096))
+		_, _ = server.Write([]byte(text))
+		_ = server.Close()
+	}()
+	return client
+}
+
+// onceTo returns a pool whose connections are answeringPipes.
 func onceTo(text string) *http1.Pool {
 	return http1.NewPool("x", func(context.Context, string) (net.Conn, error) {
-		client, server := net.Pipe()
-		go func() {
-			_, _ = server.Read(make([]byte, 4096))
-			_, _ = server.Write([]byte(text))
-			_ = server.Close()
-		}()
-		return client, nil
+		return answeringPipe(text), nil
 	}, clock.System{}, time.Minute)
 }
 
