standin: a reset before the body is read is always one

Traced: in each case the connection had received an orderly close (state CLOSE_WAIT, no error of a write), and the stand-in's close had not been a reset. Its connections are wrapped, so that they took no linger time, and the kernel sent a reset only since bytes of the upload were unread, as they nearly always were. The product told the two apart as it should.

Change: the stand-in sets the linger time of the connection that is wrapped, and fails loudly if it can't. The spec stays as it was.

--- a/standin/fault.go
+++ b/standin/fault.go
@@ -187,8 +187,12 @@
 	}
 	_, _ = fmt.Fprintf(conn, "%sRequest-Id: %s\r\nResponse-Stamp: s\r\n\r\npart", head, id)
 	time.Sleep(15*time.Millisecond + rand.N(15*time.Millisecond))
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if repeat, ok := conn.(*repeatConn); ok {
+		conn = repeat.Conn
+	}
+	// Without it, the close is a reset only if bytes of the request are unread.
+	if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+		panic(err)
 	}
 	_ = conn.Close()
 }
