--- a/http1/broken_test.go
+++ b/http1/broken_test.go
@@ -157,6 +157,7 @@
 	{"a null byte in the value", "Name: a\x00b"},
 	{"a carriage return in the value", "Name: a\rContent-Length: 1"},
 	{"a control byte in the value", "Name: a\x1bb"},
+	{"a status line in the value", "Name: HTTP/1.1 200 OK"},
 }
 
 var _ = Describe("a response", func() {
