--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -22,10 +22,11 @@
 
 // cases holds the cases by name. Without trouble, a case leaves out its disruption.
 var cases = map[string]func(f *fleet, trouble bool) error{
-	"crashing-twin":      crashingTwin,
-	"pipelined":          pipelined,
-	"restored-store":     restoredStore,
-	"unsignalled-region": unsignalledRegion,
+	"crashing-twin":       crashingTwin,
+	"pipelined":           pipelined,
+	"restored-store":      restoredStore,
+	"unsignalled-region":  unsignalledRegion,
+	"unsignalled-service": unsignalledService,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
