platform, sidecar, evacuation, quarantine: a restored store begins a new timeline

The operators wrote the lost version again and the next one, and no node learned of the next: the former service went on running all requests.

Cause: a revision was taken for a place in the only history that there is. The restored store gave revisions out again and had passed the one that the watches had reached, so that it answered them without what lay between. After a 410, a configuration was skipped if its entry had the revision of the last one.

Change: the client decodes the number of the timeline (Store-Era) in each response and keeps it with positions, entries and leases. Positions of two timelines do not compare. A watch or a list that meets a later timeline begins again, also one that is pending; no write is sent on a condition of an earlier one; leases end with their timeline; a late response of an earlier one is an error; one without a number changes nothing. Nodes tell each other of a later timeline, register again, store crash counts and estimates again, and keep the evacuations in force until the operators write. Put takes the entry that was read in place of its version, and the calls with leases take a Lease, so specs that passed numbers pass these now; what they check is as before.

Why it works: whatever was read is dropped, or read anew, before it is compared with anything of another history, and what is in force changes only with a higher version or a write of the operators.

Tried first and changed: a restore in the stand-in that counted the ended leases as changes hid the fault, as revisions then passed the watched one. The stand-in drops them without a change.

--- a/cmd/banyancross/sidecar_script_test.go
+++ b/cmd/banyancross/sidecar_script_test.go
@@ -76,7 +76,7 @@
 	waitFor(ts, "version "+version+" stored", func() bool {
 		ctx := context.Background()
 		entry, err := client.Get(ctx, platform.ConfigurationKey)
-		return err == nil && client.Put(ctx, platform.ConfigurationKey, []byte(text), entry.Version()) == nil
+		return err == nil && client.Put(ctx, platform.ConfigurationKey, []byte(text), entry) == nil
 	})
 }
 
--- a/evacuation/set.go
+++ b/evacuation/set.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/banyancross/banyancross/timeline"
 )
 
 const (
@@ -12,35 +14,39 @@
 	maxTotalBytes = 400
 )
 
-// Set is the evacuated failure domains as of a revision of the store; it is immutable.
+// Set is the evacuated failure domains as of a position of the store; it is immutable.
 // The zero Set is older than all others and has no domains.
 type Set struct {
-	revision uint64
+	position timeline.Position
 	// domains is sorted.
 	domains []string
 	// relevant means that the set has domains, or replaced a set that had some.
 	relevant bool
 }
 
-// Snapshot returns the Set of all failure domains that are evacuated as of a revision.
-func Snapshot(revision uint64, domains ...string) Set {
+// Snapshot returns the Set of all failure domains that are evacuated as of a position.
+func Snapshot(position timeline.Position, domains ...string) Set {
 	sorted := slices.Compact(slices.Sorted(slices.Values(domains)))
-	return Set{revision: revision, domains: sorted, relevant: len(sorted) > 0}
+	return Set{position: position, domains: sorted, relevant: len(sorted) > 0}
 }
 
-// Update returns the Set after an evacuation began or ended at a revision, as the store
+// Update returns the Set after an evacuation began or ended at a position, as the store
 // or another node tells.
-func Update(revision uint64, domains ...string) Set {
-	s := Snapshot(revision, domains...)
-	s.relevant = revision > 0
+func Update(position timeline.Position, domains ...string) Set {
+	s := Snapshot(position, domains...)
+	s.relevant = position.Revision() > 0
 	return s
 }
 
-// Merge returns the Set of the higher revision.
+// Merge returns the Set of the later position. Sets of one position differ only after the
+// store was restored, and then all their domains count.
 func (s Set) Merge(other Set) Set {
 	latest := s
-	if other.revision > s.revision {
+	switch {
+	case s.position.Before(other.position):
 		latest = other
+	case s.position == other.position:
+		latest = Snapshot(s.position, slices.Concat(s.domains, other.domains)...)
 	}
 	// A node that holds a replaced set must hear that it was replaced.
 	latest.relevant = s.relevant || other.relevant
@@ -56,19 +62,27 @@
 // Same reports whether two sets have the same failure domains.
 func (s Set) Same(other Set) bool { return slices.Equal(s.domains, other.domains) }
 
-// Revision returns the revision of the store at which the Set was known.
-func (s Set) Revision() uint64 { return s.revision }
+// Position returns the position of the store at which the Set was known.
+func (s Set) Position() timeline.Position { return s.position }
+
+// AsOf returns the Set as one that is still known at a later position.
+func (s Set) AsOf(position timeline.Position) Set {
+	if s.position.Before(position) {
+		s.position = position
+	}
+	return s
+}
 
 // Domains returns the evacuated failure domains, sorted; they must not be changed.
 func (s Set) Domains() []string { return s.domains }
 
-// Announcement returns what other nodes must know: 0 and nil if there never was an
-// evacuation.
-func (s Set) Announcement() (revision uint64, domains []string) {
+// Announcement returns what other nodes must know: the zero Position and nil if there
+// never was an evacuation.
+func (s Set) Announcement() (position timeline.Position, domains []string) {
 	if !s.relevant {
-		return 0, nil
+		return timeline.Position{}, nil
 	}
-	return s.revision, s.domains
+	return s.position, s.domains
 }
 
 // Usable returns the first names, in order, that a Set may hold, and the others: those
--- a/evacuation/set_test.go
+++ b/evacuation/set_test.go
@@ -7,26 +7,30 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/evacuation"
+	"github.com/banyancross/banyancross/timeline"
 )
 
+// at returns the position of a revision in the first timeline.
+func at(revision uint64) timeline.Position { return timeline.NewPosition(1, revision) }
+
 func TestTheHigherRevisionReplacesTheOtherWhole(t *testing.T) {
 	g := NewWithT(t)
-	two := evacuation.Snapshot(7, "z2", "z1", "z2")
+	two := evacuation.Snapshot(at(7), "z2", "z1", "z2")
 	g.Expect(two.Domains()).To(Equal([]string{"z1", "z2"}))
-	one := evacuation.Update(9, "z1")
+	one := evacuation.Update(at(9), "z1")
 	for _, merged := range []evacuation.Set{two.Merge(one), one.Merge(two)} {
 		g.Expect(merged.Has("z1")).To(BeTrue())
 		g.Expect(merged.Has("z2")).To(BeFalse())
-		g.Expect(merged.Revision()).To(Equal(uint64(9)))
+		g.Expect(merged.Position()).To(Equal(at(9)))
 	}
 	g.Expect(two.Has("z2")).To(BeTrue(), "a set never changes")
 }
 
 func TestAnEvacuationThatNeverWasIsNotAnnounced(t *testing.T) {
 	g := NewWithT(t)
-	for _, s := range []evacuation.Set{{}, evacuation.Snapshot(5), evacuation.Snapshot(5).Merge(evacuation.Update(0))} {
-		revision, domains := s.Announcement()
-		g.Expect(revision).To(BeZero())
+	for _, s := range []evacuation.Set{{}, evacuation.Snapshot(at(5)), evacuation.Snapshot(at(5)).Merge(evacuation.Update(at(0)))} {
+		position, domains := s.Announcement()
+		g.Expect(position.IsZero()).To(BeTrue())
 		g.Expect(domains).To(BeEmpty())
 	}
 }
@@ -35,13 +39,13 @@
 // heard of the end have restarted since, and know only that there is no evacuation.
 func TestAnEndedEvacuationDoesNotReturn(t *testing.T) {
 	g := NewWithT(t)
-	stale := evacuation.Snapshot(7, "z1")
-	restarted := evacuation.Snapshot(12).Merge(stale)
+	stale := evacuation.Snapshot(at(7), "z1")
+	restarted := evacuation.Snapshot(at(12)).Merge(stale)
 	g.Expect(restarted.Has("z1")).To(BeFalse())
-	revision, domains := restarted.Announcement()
-	g.Expect(revision).To(Equal(uint64(12)), "the stale node must hear of the end")
+	position, domains := restarted.Announcement()
+	g.Expect(position).To(Equal(at(12)), "the stale node must hear of the end")
 	g.Expect(domains).To(BeEmpty())
-	g.Expect(stale.Merge(evacuation.Update(revision, domains...)).Has("z1")).To(BeFalse())
+	g.Expect(stale.Merge(evacuation.Update(position, domains...)).Has("z1")).To(BeFalse())
 }
 
 func TestNamesThatDoNotFitAreLeftOut(t *testing.T) {
--- a/fleet/beacon.go
+++ b/fleet/beacon.go
@@ -73,11 +73,15 @@
 	Blocklist []quarantine.Record `cbor:"18,keyasint,omitempty"`
 	// StoreUnreachable means that the store does not answer the node.
 	StoreUnreachable bool `cbor:"19,keyasint,omitempty"`
+	// StoreTimeline is the latest timeline in which the store has answered the node.
+	StoreTimeline uint64 `cbor:"34,keyasint,omitempty"`
 	// Ping asks the receiver for a beacon in return.
 	Ping bool `cbor:"20,keyasint,omitempty"`
 	// EvacuationRevision is the revision of the store at which Evacuated was known, 0 if
-	// there never was an evacuation.
+	// there never was an evacuation, and EvacuationTimeline the timeline of the revision, 0
+	// from earlier versions.
 	EvacuationRevision uint64 `cbor:"30,keyasint,omitempty"`
+	EvacuationTimeline uint64 `cbor:"35,keyasint,omitempty"`
 	// Evacuated holds the evacuated failure domains.
 	Evacuated []string `cbor:"31,keyasint,omitempty"`
 	// Earlier versions use key 32 for another value.
@@ -123,7 +127,8 @@
 	// nanoseconds, and a node raises its own above one that others know.
 	maxIncarnation = 1 << 62
 	maxSequence    = 1 << 62
-	// maxRevision bounds the revision of an evacuation, which a later one must exceed.
+	// maxRevision bounds the revision and the timeline of an evacuation, which a later one
+	// must exceed.
 	maxRevision = 1 << 62
 )
 
@@ -146,8 +151,8 @@
 	if _, unusable := evacuation.Usable(b.Evacuated); len(unusable) > 0 {
 		return eris.Errorf("%q cannot be evacuated failure domains", unusable)
 	}
-	if b.EvacuationRevision > maxRevision {
-		return eris.Errorf("evacuation revision %d is out of range", b.EvacuationRevision)
+	if b.EvacuationRevision > maxRevision || b.EvacuationTimeline > maxRevision {
+		return eris.Errorf("evacuation revision %d or timeline %d is out of range", b.EvacuationRevision, b.EvacuationTimeline)
 	}
 	for _, ratio := range []float32{b.Load.Slowdown, b.Load.NestedExcess, b.SaturationSlowdown, b.SaturationSamples} {
 		// The comparisons are false for NaN.
--- a/ingress/evacuation_level_test.go
+++ b/ingress/evacuation_level_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyancross/banyancross/fleet"
 	"github.com/banyancross/banyancross/ingress"
 	"github.com/banyancross/banyancross/route"
+	"github.com/banyancross/banyancross/timeline"
 )
 
 // The pattern: operators evacuate a failure domain while the upstreams that are left are
@@ -20,7 +21,7 @@
 	// reported.
 	excess := func(evacuated ...string) float32 {
 		view := fleet.NewView()
-		set := evacuation.Snapshot(1, evacuated...)
+		set := evacuation.Snapshot(timeline.NewPosition(0, 1), evacuated...)
 		in := ingress.New("z1", func() *route.Table { return nil }, func() string { return "stock" }, view, &fakeSender{},
 			ingress.WithEvacuation(func() evacuation.Set { return set }))
 		for _, domain := range []string{"z1", "z2"} {
--- a/ingress/permission_test.go
+++ b/ingress/permission_test.go
@@ -18,6 +18,7 @@
 	"github.com/banyancross/banyancross/ingress"
 	"github.com/banyancross/banyancross/organisation"
 	"github.com/banyancross/banyancross/route"
+	"github.com/banyancross/banyancross/timeline"
 )
 
 // spread is a service with two upstreams in each of the failure domains z1 to z4; z1 and z2
@@ -114,7 +115,7 @@
 func (k *knownEvacuation) get() evacuation.Set { return *k.Load() }
 
 func (k *knownEvacuation) set(revision uint64, domains ...string) {
-	set := evacuation.Update(revision, domains...)
+	set := evacuation.Update(timeline.NewPosition(0, revision), domains...)
 	k.Store(&set)
 }
 
--- a/node/lease.go
+++ b/node/lease.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return lease, false
 	}
-	err = n.store.Put(ctx, key, data, entry.Version())
+	err = n.store.Put(ctx, key, data, entry)
 	if err != nil && platform.KindOf(err) != platform.KindUnavailable {
 		_ = level.Warn(n.logger).Log("event", "tenure-not-written", "key", key, "err", err)
 	}
--- a/node/totals.go
+++ b/node/totals.go
@@ -188,7 +188,7 @@
 		if err != nil {
 			return false
 		}
-		err = n.store.Put(ctx, key, data, entry.Version())
+		err = n.store.Put(ctx, key, data, entry)
 		if err == nil {
 			return true
 		}
@@ -267,7 +267,7 @@
 	if err != nil {
 		return
 	}
-	if err := n.store.Put(ctx, key, data, 0); err == nil {
+	if err := n.store.Put(ctx, key, data, entry); err == nil {
 		_ = level.Info(n.logger).Log("event", "day-closed", "day", day, "trusted", summary.Trusted())
 	}
 }
--- a/publishing/publisher.go
+++ b/publishing/publisher.go
@@ -51,7 +51,7 @@
 // Store is the platform's key-value service.
 type Store interface {
 	Get(ctx context.Context, key string) (platform.Entry, error)
-	Put(ctx context.Context, key string, value []byte, version uint64) error
+	Put(ctx context.Context, key string, value []byte, previous platform.Entry) error
 }
 
 // Clock provides the time and timers.
@@ -94,7 +94,7 @@
 	maybePublished := false
 	var lastErr error
 	for range maxAttempts {
-		state, version, err := p.read(ctx)
+		state, entry, err := p.read(ctx)
 		if err == nil {
 			var next *note.State
 			next, err = change(state)
@@ -104,7 +104,7 @@
 			if next == state {
 				return state, nil
 			}
-			err = p.write(ctx, next, version)
+			err = p.write(ctx, next, entry)
 			if err == nil {
 				return next, nil
 			}
@@ -122,27 +122,27 @@
 	return nil, &Error{op: op, kind: kind, err: errors.Join(lastErr, ctx.Err())}
 }
 
-func (p *Publisher) read(ctx context.Context) (*note.State, uint64, error) {
+func (p *Publisher) read(ctx context.Context) (*note.State, platform.Entry, error) {
 	entry, err := p.store.Get(ctx, ConfigurationKey)
 	if err != nil {
-		return nil, 0, err
+		return nil, platform.Entry{}, err
 	}
 	if entry.Version() == 0 {
-		return &note.State{}, 0, nil
+		return &note.State{}, entry, nil
 	}
 	state, err := note.Decode(entry.Value())
 	if err != nil {
-		return nil, 0, err
+		return nil, platform.Entry{}, err
 	}
-	return state, entry.Version(), nil
+	return state, entry, nil
 }
 
-func (p *Publisher) write(ctx context.Context, state *note.State, version uint64) error {
+func (p *Publisher) write(ctx context.Context, state *note.State, previous platform.Entry) error {
 	data, err := state.Encode()
 	if err != nil {
 		return err
 	}
-	return p.store.Put(ctx, ConfigurationKey, data, version)
+	return p.store.Put(ctx, ConfigurationKey, data, previous)
 }
 
 func (p *Publisher) waitRetry(ctx context.Context) bool {
--- a/publishing/publisher_test.go
+++ b/publishing/publisher_test.go
@@ -41,14 +41,14 @@
 	return platform.NewEntry(s.value, s.version), nil
 }
 
-func (s *faultyStore) Put(_ context.Context, _ string, value []byte, version uint64) error {
+func (s *faultyStore) Put(_ context.Context, _ string, value []byte, previous platform.Entry) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	draw := s.rng.Float64()
 	if draw < s.faultRate/2 {
 		return fault(platform.KindUnknown) // the request was lost
 	}
-	if s.version != version {
+	if s.version != previous.Version() {
 		return fault(platform.KindConflict)
 	}
 	s.version++
--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyancross/banyancross/timeline"
 )
 
 const (
@@ -34,8 +36,10 @@
 	// source is that of the crashes counted here from now on.
 	source   uint32
 	requests map[uint64]*crashState
-	// version is the version of the latest stored counts that were read.
-	version uint64
+	// position is that of the latest stored counts that were read.
+	position timeline.Position
+	// restored means that the store was restored from a copy after counts were stored.
+	restored bool
 }
 
 // BlocklistOption configures a Blocklist.
@@ -133,6 +137,19 @@
 	return len(b.latest((*crashState).blocked))
 }
 
+// HasCrashes reports whether there are requests that have crashed upstreams and were not
+// answered since.
+func (b *Blocklist) HasCrashes() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.requests {
+		if c.crashes() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // RecentRecords returns what has changed at this node and what was blocked within
 // announceTime, and the blocks that are not stored yet, the latest first.
 func (b *Blocklist) RecentRecords(now time.Time) []Record {
--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/banyancross/banyancross/timeline"
 )
 
 const (
@@ -82,39 +84,63 @@
 	return s, true
 }
 
-// Saved records that a Snapshot of this node is stored.
-func (b *Blocklist) Saved(now time.Time, s Snapshot) {
+// Saved records that a Snapshot of this node is stored in a timeline.
+func (b *Blocklist) Saved(now time.Time, number uint64, s Snapshot) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	saved := s.counts()
 	for fingerprint, counts := range saved {
 		b.request(fingerprint).raiseAll(now, counts)
 	}
+	if number < b.position.Timeline() {
+		// The store was restored since, and may have lost them.
+		return
+	}
+	b.restored = false
 	for fingerprint, c := range b.requests {
 		c.saved = saved[fingerprint]
 	}
 }
 
-// Unstored records that no counts are stored, or none that can be read. That clears no
-// request.
-func (b *Blocklist) Unstored() {
+// Unstored records that no counts are stored at a position, or none that can be read. That
+// clears no request.
+func (b *Blocklist) Unstored(position timeline.Position) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.enter(position)
+	b.forgetSaved()
+}
+
+// forgetSaved records that it is not known what is stored; b.mu must be held.
+func (b *Blocklist) forgetSaved() {
 	for _, c := range b.requests {
 		c.saved = nil
 	}
 }
 
-// Restore adds the stored counts unless those of a later version were added. A request that
+// enter records that the store was read at a position. If it was restored from a copy since
+// the latest read, counts that were stored may be lost, which clears no request; b.mu must be
+// held.
+func (b *Blocklist) enter(position timeline.Position) {
+	if position.Timeline() <= b.position.Timeline() {
+		return
+	}
+	b.restored = b.restored || b.position.Timeline() != 0
+	b.forgetSaved()
+	b.position = timeline.NewPosition(position.Timeline(), 0)
+}
+
+// Restore adds the stored counts unless those of a later position were added. A request that
 // is no longer stored is cleared of the crashes that were: another node has had an answer,
 // or an operator has removed it.
-func (b *Blocklist) Restore(now time.Time, version uint64, s Snapshot) {
+func (b *Blocklist) Restore(now time.Time, position timeline.Position, s Snapshot) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if version <= b.version {
+	b.enter(position)
+	if !b.position.Before(position) {
 		return
 	}
-	b.version = version
+	b.position = position
 	stored := s.counts()
 	for fingerprint, c := range b.requests {
 		if stored[fingerprint] != nil {
@@ -134,14 +160,14 @@
 }
 
 // Unsaved reports whether the store has a request that was answered here, or lacks what
-// another node should have stored meanwhile.
+// another node should have stored meanwhile, or what it may have lost.
 func (b *Blocklist) Unsaved(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.requests {
 		sinceChange := now.Sub(c.changedAt)
 		answered := c.crashes() == 0 && c.saved != nil && (c.answered || sinceChange > answerGrace)
-		lacking := c.crashes() > 0 && !maps.Equal(c.counts, c.saved) && sinceChange > unsavedGrace
+		lacking := c.crashes() > 0 && !maps.Equal(c.counts, c.saved) && (sinceChange > unsavedGrace || b.restored)
 		if answered || lacking {
 			return true
 		}
--- a/quarantine/snapshot_test.go
+++ b/quarantine/snapshot_test.go
@@ -9,17 +9,19 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/banyancross/banyancross/quarantine"
+	"github.com/banyancross/banyancross/timeline"
 )
 
 // storedCounts is a store of crash counts with conditional writes.
 type storedCounts struct {
+	timeline uint64
 	version  uint64
 	snapshot quarantine.Snapshot
 }
 
 // read applies the stored counts to a node's.
 func (s *storedCounts) read(now time.Time, b *quarantine.Blocklist) {
-	b.Restore(now, s.version, s.snapshot)
+	b.Restore(now, timeline.NewPosition(s.timeline, s.version), s.snapshot)
 }
 
 // write reads and then writes the counts that a node knows.
@@ -32,7 +34,7 @@
 func (s *storedCounts) put(now time.Time, b *quarantine.Blocklist, snapshot quarantine.Snapshot) {
 	s.version++
 	s.snapshot = snapshot
-	b.Saved(now, snapshot)
+	b.Saved(now, s.timeline, snapshot)
 }
 
 // trial reads the counts and writes a trial of request 1, and reports whether one was due.
@@ -55,7 +57,7 @@
 var _ = Describe("stored crash counts", func() {
 	at := time.Unix(1_800_000_000, 0)
 	var store *storedCounts
-	BeforeEach(func() { store = &storedCounts{} })
+	BeforeEach(func() { store = &storedCounts{timeline: 1} })
 
 	It("end at all nodes with an answer, also at those that were not told", func() {
 		a, b, c := store.start(at), store.start(at), store.start(at)
@@ -150,6 +152,72 @@
 		Expect(b.Blocked(2)).To(BeTrue())
 	})
 
+	It("that a restored store has lost end no block, and are stored again at once", func() {
+		// Guards against a request that runs again since a copy of the store lacks its crashes.
+		a, b, c := store.start(at), store.start(at), store.start(at)
+		copied := *store
+		for range 3 {
+			a.Crashed(at, []uint64{1})
+		}
+		store.write(at, a)
+		store.read(at, b)
+		store.read(at, c)
+		*store = copied
+		store.timeline++
+		// Another request brings the store beyond the version that it had.
+		for range 3 {
+			store.version++
+			a.Crashed(at, []uint64{2})
+		}
+		store.put(at, quarantine.NewBlocklist(), quarantine.Snapshot{Requests: a.Snapshot().Requests[1:]})
+		for _, node := range []*quarantine.Blocklist{b, c} {
+			store.read(at, node)
+			Expect(node.Blocked(1)).To(BeTrue())
+			Expect(node.Unsaved(at)).To(BeTrue())
+		}
+		store.write(at, b)
+		Expect(b.Unsaved(at)).To(BeFalse())
+		Expect(store.start(at).Blocked(1)).To(BeTrue())
+		// An answer ends it as before.
+		b.Answered(at.Add(time.Second), 1)
+		store.write(at.Add(time.Second), b)
+		store.read(at.Add(time.Second), c)
+		Expect(c.Blocked(1)).To(BeTrue(), "it is not known whether the store had its crashes here")
+		store.read(at.Add(time.Second), a)
+		Expect(a.Blocked(2)).To(BeTrue())
+	})
+
+	It("that a restored store still has are cleared by the answer since the copy", func() {
+		a, b := store.start(at), store.start(at)
+		for range 3 {
+			a.Crashed(at, []uint64{1})
+		}
+		store.write(at, a)
+		store.read(at, b)
+		copied := *store
+		a.Answered(at, 1)
+		store.write(at, a)
+		*store = copied
+		store.timeline++
+		store.read(at, a)
+		Expect(a.Blocked(1)).To(BeFalse())
+		Expect(a.Unsaved(at)).To(BeTrue())
+		store.write(at, a)
+		Expect(store.start(at).Blocked(1)).To(BeFalse())
+	})
+
+	It("are not taken for stored if the store was restored since the write", func() {
+		// Guards against a block that ends as the store lacks counts that it had in another timeline.
+		a := store.start(at)
+		for range 3 {
+			a.Crashed(at, []uint64{1})
+		}
+		a.Restore(at, timeline.NewPosition(2, 5), quarantine.Snapshot{})
+		a.Saved(at, 1, a.Snapshot())
+		a.Restore(at, timeline.NewPosition(2, 6), quarantine.Snapshot{})
+		Expect(a.Blocked(1)).To(BeTrue())
+	})
+
 	It("are bounded, and keep blocks", func() {
 		a := store.start(at)
 		for i := range uint64(3000) {
@@ -161,7 +229,7 @@
 		snapshot := a.Snapshot()
 		Expect(len(snapshot.Requests)).To(BeNumerically("<=", 1024))
 		b := quarantine.NewBlocklist()
-		b.Restore(at, 1, snapshot)
+		b.Restore(at, timeline.NewPosition(1, 1), snapshot)
 		Expect(b.Blocked(5000)).To(BeTrue())
 	})
 
@@ -178,7 +246,7 @@
 func checkStoredCounts(seed uint64, at time.Time) {
 	GinkgoHelper()
 	rng := rand.New(rand.NewPCG(seed, seed))
-	store := &storedCounts{}
+	store := &storedCounts{timeline: 1}
 	const hosts, requests = 4, 3
 	nodes := make([]*quarantine.Blocklist, hosts)
 	for i := range nodes {
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -72,7 +72,9 @@
 	if table := s.table.Load(); table != nil {
 		b.Revision = table.Revision()
 	}
-	b.EvacuationRevision, b.Evacuated = s.knownEvacuation().Announcement()
+	b.StoreTimeline = s.store.Timeline()
+	position, evacuated := s.knownEvacuation().Announcement()
+	b.EvacuationTimeline, b.EvacuationRevision, b.Evacuated = position.Timeline(), position.Revision(), evacuated
 	s.gate.FillBeacon(&b)
 	b.Blocklist = s.blocklist.RecentRecords(s.clock.Now())
 	return b
@@ -348,6 +350,7 @@
 		return
 	}
 	s.mergeAnnounced(b, b.Host)
+	s.noteAnnouncedTimeline(b)
 	change := s.view.Merge(s.clock.Now(), b)
 	s.ingress.UpdateLoad(&b)
 	if change.Later == nil {
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -78,7 +78,7 @@
 			}
 			continue
 		}
-		next, err := s.store.WatchOperators(s.context(), last, s.watchWait())
+		next, err := s.store.WatchOperators(s.context(), last, s.heldWait(s.watchWait()))
 		if err != nil {
 			if !s.tomb.Alive() {
 				return nil
@@ -92,10 +92,11 @@
 		}
 		backoff = minStoreBackoff
 		s.recordStoreResult(nil)
+		s.noteTimeline()
 		// A node that knows the configuration must not send calls to where an
 		// evacuation forbids it.
 		s.applyEvacuation(next, last)
-		if entry := next.Configuration(); entry.Version() != last.Configuration().Version() && len(entry.Value()) > 0 {
+		if entry := next.Configuration(); entry.Position() != last.Configuration().Position() && len(entry.Value()) > 0 {
 			s.applyConfiguration(entry.Value(), storeSource)
 		}
 		last = next
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -106,12 +106,12 @@
 		return err
 	}
 	if !bytes.Equal(value, entry.Value()) && len(entry.Value())+len(snapshot.Requests) > 0 {
-		if err := s.store.Put(ctx, crashesKey, value, entry.Version()); err != nil {
+		if err := s.store.Put(ctx, crashesKey, value, entry); err != nil {
 			return err
 		}
 		_ = level.Info(s.logger).Log("event", "crashes-stored", "requests", len(snapshot.Requests), "blocked", s.blocklist.BlockedRequests())
 	}
-	s.blocklist.Saved(s.clock.Now(), snapshot)
+	s.blocklist.Saved(s.clock.Now(), entry.Position().Timeline(), snapshot)
 	return nil
 }
 
@@ -119,16 +119,16 @@
 // node's are to be stored again.
 func (s *Sidecar) restoreCrashes(entry platform.Entry) {
 	if entry.Version() == 0 {
-		s.blocklist.Unstored()
+		s.blocklist.Unstored(entry.Position())
 		return
 	}
 	snapshot, err := decodeCrashes(entry)
 	if err != nil {
 		_ = level.Warn(s.logger).Log("event", "entry-skipped", "key", crashesKey, "err", err)
-		s.blocklist.Unstored()
+		s.blocklist.Unstored(entry.Position())
 		return
 	}
-	s.blocklist.Restore(s.clock.Now(), entry.Version(), snapshot)
+	s.blocklist.Restore(s.clock.Now(), entry.Position(), snapshot)
 }
 
 // joinCrashes applies the crash counts that a roster holds, if its node knew them.
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -10,6 +10,7 @@
 	"github.com/banyancross/banyancross/http1"
 	"github.com/banyancross/banyancross/ingress"
 	"github.com/banyancross/banyancross/locality"
+	"github.com/banyancross/banyancross/platform"
 )
 
 // UntilSlot exports untilSlot.
@@ -27,7 +28,7 @@
 
 // ReadFleet reads the fleet's entries as at regular intervals.
 func (s *Sidecar) ReadFleet() error {
-	lease := uint64(0)
+	lease := platform.Lease{}
 	return s.readFleet(&lease, false)
 }
 
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -46,6 +46,7 @@
 			"nodes":                        float64(len(peers)),
 			"nodes_silent":                 float64(silent),
 			"store_calls":                  float64(s.store.Calls()),
+			"store_timeline":               float64(s.store.Timeline()),
 			"requests_in_progress":         float64(s.callerServer.ActiveRequests()),
 			"upstream_running":             float64(load.Running),
 			"upstream_waiting":             float64(load.Waiting),
--- a/sidecar/joining_test.go
+++ b/sidecar/joining_test.go
@@ -251,8 +251,8 @@
 	return platform.Operators{}, errNoAnswer
 }
 
-func (s *listOnlyStore) GrantLease(context.Context, time.Duration) (uint64, error) {
-	return 0, errNoAnswer
+func (s *listOnlyStore) GrantLease(context.Context, time.Duration) (platform.Lease, error) {
+	return platform.Lease{}, errNoAnswer
 }
 
 // lateWriteStore is a store that does not answer the first write with a lease, and executes
@@ -266,7 +266,7 @@
 	renewed atomic.Uint64
 }
 
-func (s *lateWriteStore) PutWithLease(ctx context.Context, key string, value []byte, lease uint64) error {
+func (s *lateWriteStore) PutWithLease(ctx context.Context, key string, value []byte, lease platform.Lease) error {
 	if s.late == nil {
 		s.late = func() { _ = s.Client.PutWithLease(ctx, key, value, lease) }
 		if s.lost != nil {
@@ -279,10 +279,10 @@
 	return err
 }
 
-func (s *lateWriteStore) RenewLease(ctx context.Context, lease uint64) error {
+func (s *lateWriteStore) RenewLease(ctx context.Context, lease platform.Lease) error {
 	err := s.Client.RenewLease(ctx, lease)
 	if err == nil {
-		s.renewed.Store(lease)
+		s.renewed.Store(lease.Number())
 	}
 	return err
 }
--- a/sidecar/lifting.go
+++ b/sidecar/lifting.go
@@ -16,7 +16,7 @@
 // CrashStore is the part of the platform's store that holds the crash counts.
 type CrashStore interface {
 	Get(ctx context.Context, key string) (platform.Entry, error)
-	Put(ctx context.Context, key string, value []byte, version uint64) error
+	Put(ctx context.Context, key string, value []byte, previous platform.Entry) error
 }
 
 // FormatFingerprint returns the form of a request's fingerprint in logs and commands.
@@ -29,13 +29,13 @@
 	return snapshot, err
 }
 
-func readCrashes(ctx context.Context, store CrashStore) (quarantine.Snapshot, uint64, error) {
+func readCrashes(ctx context.Context, store CrashStore) (quarantine.Snapshot, platform.Entry, error) {
 	entry, err := store.Get(ctx, crashesKey)
 	if err != nil || entry.Version() == 0 {
-		return quarantine.Snapshot{}, 0, err
+		return quarantine.Snapshot{}, entry, err
 	}
 	snapshot, err := decodeCrashes(entry)
-	return snapshot, entry.Version(), err
+	return snapshot, entry, err
 }
 
 func decodeCrashes(entry platform.Entry) (quarantine.Snapshot, error) {
@@ -51,7 +51,7 @@
 func RemoveCrashes(ctx context.Context, store CrashStore, fingerprint uint64) (bool, error) {
 	var conflict error
 	for range liftAttempts {
-		snapshot, version, err := readCrashes(ctx, store)
+		snapshot, entry, err := readCrashes(ctx, store)
 		if err != nil {
 			return false, err
 		}
@@ -64,7 +64,7 @@
 		if err != nil {
 			return false, &Error{op: "write crash counts", kind: KindMalformed, err: err}
 		}
-		if conflict = store.Put(ctx, crashesKey, value, version); platform.KindOf(conflict) != platform.KindConflict {
+		if conflict = store.Put(ctx, crashesKey, value, entry); platform.KindOf(conflict) != platform.KindConflict {
 			return conflict == nil, conflict
 		}
 	}
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -55,12 +55,13 @@
 // register keeps this node's entry in the store while it is an anchor, and reads
 // those of the others: often until another node is heard, and then periodically.
 func (s *Sidecar) register() error {
-	var lease uint64
+	var lease platform.Lease
 	backoff, failing := minStoreBackoff, false
 	if s.settings.Load().FirstStart() && !s.sleep(min(s.jittered(firstListDelay), s.remainingJoinWait())) {
 		return nil
 	}
 	for s.tomb.Alive() {
+		latest := s.latestTimeline()
 		wait, err := s.updateRegistration(&lease)
 		if err == nil {
 			s.recordStoreResult(nil)
@@ -74,13 +75,10 @@
 		failing = err != nil
 		if failing {
 			wait, backoff = backoff, min(2*backoff, maxRenewalBackoff)
-			if !s.sleep(s.jittered(wait)) {
-				return nil
-			}
-			continue
+		} else {
+			backoff = minStoreBackoff
 		}
-		backoff = minStoreBackoff
-		if !s.pauseRegistration(s.jittered(wait)) {
+		if !s.pauseRegistration(s.jittered(wait), latest, failing) {
 			return nil
 		}
 	}
@@ -89,9 +87,13 @@
 
 // updateRegistration reads the fleet's entries and renews or writes this node's own
 // if it is an anchor. It returns the pause until the next update.
-func (s *Sidecar) updateRegistration(lease *uint64) (time.Duration, error) {
+func (s *Sidecar) updateRegistration(lease *platform.Lease) (time.Duration, error) {
 	// A restarted node must not miss the crashes of the last seconds.
 	stale := s.settings.Load().FirstStart() || s.crashesKnown.Load()
+	if s.entriesTimeline != 0 && s.entriesTimeline < s.latestTimeline() {
+		// A stale read may be one from before the store was restored.
+		stale = false
+	}
 	if err := s.readFleet(lease, stale); err != nil {
 		return 0, err
 	}
@@ -108,12 +110,12 @@
 // registerAlone registers this node once it has waited for others to be heard. An
 // up-to-date list of entries first shows whether another one has registered
 // meanwhile.
-func (s *Sidecar) registerAlone(lease *uint64) (time.Duration, error) {
+func (s *Sidecar) registerAlone(lease *platform.Lease) (time.Duration, error) {
 	pause := min(max(s.clock.Now().Sub(s.started)/2, minListInterval), maxListInterval)
 	if remaining := s.remainingJoinWait(); remaining > 0 {
 		return min(pause, remaining), nil
 	}
-	if *lease == 0 {
+	if lease.Number() == 0 {
 		known := s.view.Len()
 		if err := s.readFleet(lease, false); err != nil {
 			return 0, err
@@ -144,16 +146,19 @@
 	return s.remainingJoinWait() <= 0
 }
 
-// pauseRegistration waits, but not longer than it takes until this node has to
-// register, and reports whether the node is still running.
-func (s *Sidecar) pauseRegistration(wait time.Duration) bool {
+// pauseRegistration waits, but not longer than it takes until this node has to register,
+// which it has to again if the store was restored after the latest timeline that was known
+// before, and reports whether the node is still running. After a failure it waits at least
+// until the store is restored.
+func (s *Sidecar) pauseRegistration(wait time.Duration, latest uint64, failed bool) bool {
 	for wait > 0 {
 		step := min(wait, anchorCheckInterval)
 		if !s.sleep(step) {
 			return false
 		}
 		wait -= step
-		if !s.registered.Load() && s.mustRegister() {
+		restored := latest != 0 && s.latestTimeline() > latest
+		if (restored || !failed && !s.registered.Load()) && s.mustRegister() {
 			return true
 		}
 	}
@@ -162,14 +167,15 @@
 
 // readFleet reads the fleet's entries. It resumes the lease of the entry that an
 // earlier process of this node has left. A stale read may be seconds old.
-func (s *Sidecar) readFleet(lease *uint64, stale bool) error {
+func (s *Sidecar) readFleet(lease *platform.Lease, stale bool) error {
 	entries, _, err := s.store.List(s.context(), entriesPrefix, stale)
 	if err != nil {
 		return err
 	}
-	if *lease == 0 {
+	if lease.Number() == 0 {
 		*lease = s.earlierLease(entries)
 	}
+	s.entriesTimeline = s.store.Timeline()
 	s.addEntries(entries)
 	s.crashesKnown.Store(true)
 	if s.blocklist.Unsaved(s.clock.Now()) {
@@ -179,8 +185,8 @@
 }
 
 // earlierLease returns the lease of the entry that an earlier process of this node
-// has left, 0 if there is none.
-func (s *Sidecar) earlierLease(entries []platform.Entry) uint64 {
+// has left, the zero Lease if there is none.
+func (s *Sidecar) earlierLease(entries []platform.Entry) platform.Lease {
 	conf := s.settings.Load()
 	for _, entry := range entries {
 		if entry.Key() != nodesPrefix+conf.Host() || entry.Lease() == 0 {
@@ -188,12 +194,12 @@
 		}
 		b, err := fleet.Decode(entry.Value())
 		if err != nil || b.CallAddress != conf.AdvertisedNodeAddress() || b.GossipAddress != conf.GossipAddress() || b.FailureDomain != conf.FailureDomain() {
-			return 0
+			return platform.Lease{}
 		}
 		s.raiseIncarnation(b.Incarnation)
-		return entry.Lease()
+		return entry.HeldBy()
 	}
-	return 0
+	return platform.Lease{}
 }
 
 // raiseIncarnation makes this process's incarnation higher than an earlier one,
@@ -206,20 +212,20 @@
 
 // renewRegistration renews the lease of this node's entry, or writes the entry
 // with a new lease.
-func (s *Sidecar) renewRegistration(lease *uint64) error {
+func (s *Sidecar) renewRegistration(lease *platform.Lease) error {
 	ctx := s.context()
-	if *lease != 0 {
+	if lease.Number() != 0 {
 		err := s.store.RenewLease(ctx, *lease)
 		if platform.KindOf(err) != platform.KindLeaseExpired {
 			s.registered.Store(err == nil)
 			return err
 		}
-		_ = level.Warn(s.logger).Log("event", "lease-ended", "lease", *lease)
-		*lease, s.unconfirmedLease = 0, 0
+		_ = level.Warn(s.logger).Log("event", "lease-ended", "lease", lease.Number(), "err", err)
+		*lease, s.unconfirmedLease = platform.Lease{}, platform.Lease{}
 	}
 	// A write without an answer may take effect after the next one, which must therefore
 	// have the same lease.
-	if s.unconfirmedLease == 0 {
+	if s.unconfirmedLease.Number() == 0 {
 		granted, err := s.store.GrantLease(ctx, leaseDuration)
 		if err != nil {
 			return err
@@ -228,7 +234,7 @@
 	}
 	entry := s.beacon()
 	// The store has the evacuations and crash counts themselves.
-	entry.EvacuationRevision, entry.Evacuated = 0, nil
+	entry.EvacuationTimeline, entry.EvacuationRevision, entry.Evacuated = 0, 0, nil
 	entry.Blocklist = nil
 	value, err := codec.Marshal(entry)
 	if err != nil {
@@ -236,11 +242,11 @@
 	}
 	if err := s.store.PutWithLease(ctx, nodesPrefix+s.settings.Load().Host(), value, s.unconfirmedLease); err != nil {
 		if platform.KindOf(err) == platform.KindLeaseExpired {
-			s.unconfirmedLease = 0
+			s.unconfirmedLease = platform.Lease{}
 		}
 		return err
 	}
-	*lease, s.unconfirmedLease = s.unconfirmedLease, 0
+	*lease, s.unconfirmedLease = s.unconfirmedLease, platform.Lease{}
 	s.registered.Store(true)
 	return nil
 }
@@ -249,7 +255,7 @@
 // greets the nodes that are new.
 func (s *Sidecar) addEntries(entries []platform.Entry) {
 	now, added := s.clock.Now(), false
-	var crashes platform.Entry
+	crashes := platform.NewAbsentEntry(crashesKey, s.store.Timeline())
 	for _, entry := range entries {
 		if service, ok := strings.CutPrefix(entry.Key(), estimatesPrefix); ok {
 			s.loadEstimate(service, entry)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,11 +37,13 @@
 	List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error)
 	Get(ctx context.Context, key string) (platform.Entry, error)
 	WatchOperators(ctx context.Context, last platform.Operators, wait time.Duration) (platform.Operators, error)
-	Put(ctx context.Context, key string, value []byte, version uint64) error
+	Put(ctx context.Context, key string, value []byte, previous platform.Entry) error
 	Set(ctx context.Context, key string, value []byte) error
-	PutWithLease(ctx context.Context, key string, value []byte, lease uint64) error
-	GrantLease(ctx context.Context, duration time.Duration) (uint64, error)
-	RenewLease(ctx context.Context, lease uint64) error
+	PutWithLease(ctx context.Context, key string, value []byte, lease platform.Lease) error
+	GrantLease(ctx context.Context, duration time.Duration) (platform.Lease, error)
+	RenewLease(ctx context.Context, lease platform.Lease) error
+	Timeline() uint64
+	NextTimeline() <-chan struct{}
 	Calls() uint64
 }
 
@@ -87,7 +89,13 @@
 	settled, registered atomic.Bool
 	// unconfirmedLease is the lease of an entry whose write was not answered, 0 if there is
 	// none. Only the loop that registers uses it.
-	unconfirmedLease uint64
+	unconfirmedLease platform.Lease
+	// entriesTimeline is the latest timeline of the store in which the fleet's entries were
+	// read. Only the loop that registers uses it.
+	entriesTimeline uint64
+	// announcedTimeline is the latest timeline of the store in which it has answered another
+	// node.
+	announcedTimeline atomic.Uint64
 
 	view            *fleet.View
 	blocklist       *quarantine.Blocklist
@@ -104,6 +112,7 @@
 	loadChanged     chan struct{}
 	estimateChanged chan struct{}
 	crashesChanged  chan struct{}
+	storeRestored   chan struct{}
 	fetchRequests   chan fleet.Peer
 	tomb            tomb.Tomb
 	// gossipCursor counts the beacons sent in rotation to nodes that send no
@@ -121,6 +130,10 @@
 
 	mu  sync.Mutex
 	rng *rand.Rand
+	// timeline is the latest timeline of the store that this node has noted, and
+	// evacuationHold keeps the evacuations from before it.
+	timeline       uint64
+	evacuationHold evacuation.Hold
 }
 
 // Option configures a Sidecar.
@@ -170,7 +183,7 @@
 	s := &Sidecar{
 		clock: clock.System{}, logger: log.NewNopLogger(), metrics: http.NotFoundHandler(),
 		observe: func(ingress.Observation) {}, gauge: func(string, float64) {}, organisationGauge: func(string, string, float64) {}, view: fleet.NewView(),
-		stateChanged: make(chan struct{}, 1), loadChanged: make(chan struct{}, 1), estimateChanged: make(chan struct{}, 1), crashesChanged: make(chan struct{}, 1),
+		stateChanged: make(chan struct{}, 1), loadChanged: make(chan struct{}, 1), estimateChanged: make(chan struct{}, 1), crashesChanged: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
 		fetchRequests: make(chan fleet.Peer, 1), nodeLines: loglimit.NewWithBurst(nodeLinesPerSecond, nodeLinesBurst),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -320,6 +333,7 @@
 	s.tomb.Go(s.fetchConfigurations)
 	s.tomb.Go(s.updateGauges)
 	s.tomb.Go(s.quotas.run)
+	s.tomb.Go(s.followTimelines)
 }
 
 // sleep waits and reports whether the node is still running.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -59,6 +59,7 @@
 func newTestFleet() *testFleet {
 	GinkgoHelper()
 	f := &testFleet{store: standin.NewPlatform()}
+	f.store.SetTimeline(1)
 	f.server = httptest.NewServer(f.store)
 	DeferCleanup(func() {
 		f.store.Close()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -25,9 +25,11 @@
 
 // Platform is an in-memory stand-in for the platform's key-value service. It can
 // be made to fail or delay all calls, block the calls of one address, drop the
-// answers to transactions, compact its history, and end all leases.
+// answers to transactions, compact its history, end all leases, and come back from a copy.
 type Platform struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// timeline is the number in all answers, 0 for none.
+	timeline uint64
 	revision uint64
 	values   map[string]value
 	history  []event
@@ -189,6 +191,9 @@
 	p.mu.Lock()
 	down, delay := p.down || p.blocked[remoteIP(r)], p.delay
 	p.expireLeases(time.Now())
+	if p.timeline > 0 {
+		w.Header().Set(timelineHeader, strconv.FormatUint(p.timeline, 10))
+	}
 	p.mu.Unlock()
 	if down {
 		panic(http.ErrAbortHandler)
@@ -281,9 +286,14 @@
 	}
 	timer := time.NewTimer(min(time.Duration(milliseconds)*time.Millisecond, maxWatchWait))
 	defer timer.Stop()
+	p.mu.Lock()
+	timeline := p.timeline
+	p.mu.Unlock()
 	for timedOut := false; ; {
 		p.mu.Lock()
-		changed, down, compacted, revision := p.changed, p.down || p.blocked[remoteIP(r)], after < p.compactedRevision, p.revision
+		changed, revision := p.changed, p.revision
+		down := p.down || p.blocked[remoteIP(r)] || p.timeline != timeline
+		compacted := after < p.compactedRevision || after > p.revision
 		events := p.eventsAfter(query.Get("prefix"), after)
 		p.mu.Unlock()
 		switch {
