ingress: the identity of a request includes the service of its caller's host

Cause: the fingerprint of a request had its method, host, target, body and organisation. Upstreams are also told the service of the host where it began. The answer to one caller cleared the crashes of the other, and a block would have refused both.

Change: the fingerprint has the caller's service and organisation first, always both.

Why it works: it is computed at the entry node alone, and the checks there and at gates, the counts of crashes, the answers, beacons, rosters, stored counts and trials all take it from there.

--- a/ingress/identity_test.go
+++ b/ingress/identity_test.go
@@ -138,6 +138,38 @@
 		Expect(sendFrom("lab-key")).NotTo(Equal(deadly))
 	})
 
+	It("tells the requests of services apart that crash upstreams", func() {
+		// Guards against a request that crashes upstreams without end, as the same request from
+		// hosts of another service is answered and clears its count, and against its refusal.
+		blocklist := quarantine.NewBlocklist()
+		sendFrom := func(service string) (fingerprint uint64, sent bool) {
+			s := spread{
+				table: newTable([]route.Route{stockRoute()}), do: rejectAll, service: service,
+				options: []ingress.Option{ingress.WithBlocklist(blocklist)},
+			}
+			sender, address := s.start()
+			Expect(ask(address, "a").StatusCode).To(Equal(http.StatusServiceUnavailable))
+			attempts := sender.attempts()
+			if len(attempts) == 0 {
+				return 0, false
+			}
+			return attempts[0].meta.Fingerprint, true
+		}
+		deadly, _ := sendFrom("shop")
+		again, _ := sendFrom("shop")
+		Expect(again).To(Equal(deadly), "from any host of the service")
+		other, _ := sendFrom("lab")
+		for range 2 {
+			blocklist.Crashed(time.Now(), []uint64{deadly})
+		}
+		blocklist.Answered(time.Now(), other)
+		blocklist.Crashed(time.Now(), []uint64{deadly})
+		_, sent := sendFrom("shop")
+		Expect(sent).To(BeFalse())
+		_, sent = sendFrom("lab")
+		Expect(sent).To(BeTrue())
+	})
+
 	It("is not looked at without organisations", func() {
 		s := spread{table: newTable([]route.Route{stockRoute()}), do: rejectAll}
 		sender, address := s.start()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -270,7 +270,7 @@
 	if !s.identify(parent, nested) {
 		return
 	}
-	s.fingerprint = Fingerprint(r, s.organisationName())
+	s.fingerprint = Fingerprint(r, in.callerService(), s.organisationName())
 	if in.blocklist.Refuses(s.received, s.fingerprint) {
 		s.refuse(call.ReasonQuarantined)
 		return
@@ -325,16 +325,13 @@
 	return stop != nil && s.depth == 0 && s.received.After(stop.late) && s.received.Add(s.timeout).After(stop.end)
 }
 
-// Fingerprint returns a hash of a request's method, host, target and content, and of the
-// organisation of its caller, "" for none. It identifies a request across resends by its
-// caller, each of which has an identity of its own.
-func Fingerprint(r *http1.Request, organisation string) uint64 {
-	parts := []string{r.Method, r.Host, r.Target}
-	if organisation != "" {
-		parts = append([]string{organisation}, parts...)
-	}
+// Fingerprint returns a hash of a request's method, host, target and content, and of its
+// caller: the service of the host where it began, and the organisation, "" for none. It
+// identifies a request across resends by its caller through any host of that service, each of
+// which has an identity of its own.
+func Fingerprint(r *http1.Request, callerService, organisation string) uint64 {
 	digest := xxhash.New()
-	for _, part := range parts {
+	for _, part := range []string{callerService, organisation, r.Method, r.Host, r.Target} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
--- a/ingress/permission_test.go
+++ b/ingress/permission_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -29,6 +30,8 @@
 	table   func() *route.Table
 	do      sendFunc
 	options []ingress.Option
+	// service is that of the host, stock if it is empty.
+	service string
 }
 
 func regionOf(failureDomain string) string {
@@ -57,7 +60,7 @@
 		ingress.WithRetryBudget(largeBudget), ingress.WithStart(time.Now().Add(-time.Minute)), ingress.WithSeed(1),
 		ingress.WithRegions(regionOf), ingress.WithObserver(func(o ingress.Observation) { s.reasons <- o.Reason }),
 	}, s.options...)
-	in := ingress.New("z1", s.table, func() string { return "stock" }, view, sender, options...)
+	in := ingress.New("z1", s.table, func() string { return cmp.Or(s.service, "stock") }, view, sender, options...)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := http1.NewServer(listener, in, func() http1.Limits { return http1.Limits{} })
--- a/sidecar/crashes_test.go
+++ b/sidecar/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -119,6 +120,63 @@
 		}
 	})
 
+	It("are those of one caller's service, whatever others get for the same request", func() {
+		// Guards against a request that crashes upstreams without end, as callers of another
+		// service get answers to the same method, path and body, and against their refusal.
+		f := newTestFleet()
+		f.publish(1)
+		harmless := f.add()
+		f.service = "shop"
+		deadly := []*host{f.add(), f.add()}
+		f.service = ""
+		var upstreams []*host
+		for range 4 {
+			h := f.add()
+			h.backend.SetCrashCaller("shop")
+			h.sendHeartbeat("ready")
+			upstreams = append(upstreams, h)
+		}
+		awaitAnswer := func() {
+			GinkgoHelper()
+			Eventually(func() int { return f.send(harmless, http.MethodPost, "/pay/deadly").status }).Should(Equal(http.StatusOK))
+		}
+		crashed := func(h *host) bool {
+			return slices.ContainsFunc(h.backend.Runs(), func(r standin.Run) bool { return r.Caller == "shop" })
+		}
+		sound := func() []*host { return slices.DeleteFunc(slices.Clone(upstreams), crashed) }
+		for i := range 3 {
+			entry := deadly[i%2]
+			awaitAnswer()
+			for _, h := range sound() {
+				f.waitUntilAvailable(entry, h)
+			}
+			Expect(call(entry, http.MethodPost, "/pay/deadly", fmt.Sprintf("d%d", i)).status).To(Equal(http.StatusBadGateway))
+			Expect(sound()).To(HaveLen(3 - i))
+			awaitAnswer()
+		}
+		blocked := func(h *host) func() bool {
+			return func() bool { return h.sidecar.BlocksFrom("shop", "POST", "x", "/pay/deadly", "body") }
+		}
+		for _, h := range f.hosts {
+			Eventually(blocked(h)).Should(BeTrue(), h.name)
+		}
+		f.waitUntilStored()
+		awaitAnswer()
+		f.killAll()
+		for _, h := range sound() {
+			h.sendHeartbeat("ready")
+			f.waitUntilAvailable(deadly[0], h)
+			f.waitUntilAvailable(deadly[1], h)
+		}
+		awaitAnswer()
+		for _, h := range f.hosts {
+			Expect(blocked(h)()).To(BeTrue(), h.name)
+			Expect(h.sidecar.BlocksFrom("stock", "POST", "x", "/pay/deadly", "body")).To(BeFalse(), h.name)
+		}
+		f.expectNoRun(deadly[0], "last-0")
+		f.expectNoRun(deadly[1], "last-1")
+	})
+
 	It("include the crashes before all nodes were killed at once", func() {
 		// Guards against a request that crashes upstreams without end, as its count begins anew.
 		f := newTestFleet()
--- a/sidecar/datagrams_test.go
+++ b/sidecar/datagrams_test.go
@@ -106,7 +106,7 @@
 	}
 	request := &http1.Request{Method: http.MethodPost, Host: "x", Target: fmt.Sprint("/pay/", d.rng.IntN(payTargets)), Content: []byte("body")}
 	if d.rng.IntN(4) == 0 {
-		b.Blocklist = []quarantine.Record{{Fingerprint: ingress.Fingerprint(request, ""), Crashes: d.rng.Uint32N(3), Answered: d.rng.IntN(2) == 0}}
+		b.Blocklist = []quarantine.Record{{Fingerprint: ingress.Fingerprint(request, "stock", ""), Crashes: d.rng.Uint32N(3), Answered: d.rng.IntN(2) == 0}}
 	}
 	return b
 }
--- a/sidecar/export_test.go
+++ b/sidecar/export_test.go
@@ -16,14 +16,19 @@
 // UntilSlot exports untilSlot.
 func UntilSlot(now time.Time, slot, nodes int) time.Duration { return untilSlot(now, slot, nodes) }
 
-// Blocks reports whether the blocklist blocks a request.
+// Blocks reports whether the blocklist blocks a request of callers of this node's service.
 func (s *Sidecar) Blocks(method, host, target, content string) bool {
-	return s.blocklist.Blocked(fingerprint(method, host, target, content))
+	return s.BlocksFrom(s.service(), method, host, target, content)
 }
 
-// StoreTrial exports storeTrial.
+// BlocksFrom is Blocks for callers of a service.
+func (s *Sidecar) BlocksFrom(callerService, method, host, target, content string) bool {
+	return s.blocklist.Blocked(fingerprint(callerService, method, host, target, content))
+}
+
+// StoreTrial exports storeTrial, for a request of callers of this node's service.
 func (s *Sidecar) StoreTrial(method, host, target, content string) bool {
-	return s.storeTrial(context.Background(), fingerprint(method, host, target, content))
+	return s.storeTrial(context.Background(), fingerprint(s.service(), method, host, target, content))
 }
 
 // ReadFleet reads the fleet's entries as at regular intervals.
@@ -32,8 +37,8 @@
 	return s.readFleet(&lease, false)
 }
 
-func fingerprint(method, host, target, content string) uint64 {
-	return ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)}, "")
+func fingerprint(callerService, method, host, target, content string) uint64 {
+	return ingress.Fingerprint(&http1.Request{Method: method, Host: host, Target: target, Content: []byte(content)}, callerService, "")
 }
 
 // SetEstimate sets the gate's saturation estimate for a service.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -52,6 +53,8 @@
 	bounds string
 	// grace is the grace period in the settings, 0 for that of package standin.
 	grace time.Duration
+	// service is the service of the hosts that are added, stock if it is empty.
+	service string
 	// domains holds the failure domains of the first hosts, z1 for the others.
 	domains []string
 }
@@ -148,12 +151,13 @@
 // addIn is add in a failure domain.
 func (f *testFleet) addIn(failureDomain string, options ...sidecar.Option) *host {
 	GinkgoHelper()
-	name := fmt.Sprintf("stock-%d", len(f.hosts)+1)
-	backend, err := standin.NewBackend("i-"+name, "stock", failureDomain, "127.0.0.1:0")
+	service := cmp.Or(f.service, "stock")
+	name := fmt.Sprintf("%s-%d", service, len(f.hosts)+1)
+	backend, err := standin.NewBackend("i-"+name, service, failureDomain, "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Close)
 	text := standin.SidecarSettings{
-		Name: name, FailureDomain: failureDomain, Service: "stock", Platform: strings.TrimPrefix(f.server.URL, "http://"),
+		Name: name, FailureDomain: failureDomain, Service: service, Platform: strings.TrimPrefix(f.server.URL, "http://"),
 		Backend: backend.Address(), Callers: freeAddress(), Nodes: freeAddress(), Datagrams: freeAddress(),
 		Ready: freeAddress(), Upstream: freeAddress(), Metrics: freeAddress(),
 		FirstStart: f.firstStart, Grace: f.grace,
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -41,10 +41,12 @@
 	// announcedAddress is the address in heartbeats.
 	announcedAddress string
 
-	mu       sync.Mutex
-	faults   []Fault
-	runs     []Run
-	arrivals []Arrival
+	mu     sync.Mutex
+	faults []Fault
+	// crashCaller is the service whose requests crash the Backend, "" for none.
+	crashCaller string
+	runs        []Run
+	arrivals    []Arrival
 	// lossShare is the share of runs that end with a closed connection.
 	lossShare                 float64
 	rejectShare, repeatShare  float64
@@ -103,6 +105,13 @@
 	b.faults = append(b.faults, faults...)
 }
 
+// SetCrashCaller makes the Backend crash when it runs a request from a service.
+func (b *Backend) SetCrashCaller(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crashCaller = service
+}
+
 // SetSlowdown sets the slowdown in load reports, in percent; 100 means none.
 func (b *Backend) SetSlowdown(slowdown int) {
 	b.mu.Lock()
@@ -236,6 +245,7 @@
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
 	state, slowdown, serviceTime, hold, warmUntil := b.state, b.slowdown, b.serviceTime, b.hold, b.warmUntil
+	crashCaller := b.crashCaller
 	noWarmupReport, unhealthy := b.noWarmupReport, b.unhealthy
 	b.mu.Unlock()
 	w.Header().Set("Load-Report", fmt.Sprintf("1,0,10,%d", slowdown))
@@ -292,6 +302,9 @@
 			return
 		}
 	}
+	if crashCaller != "" && r.Header.Get("Caller-Service") == crashCaller {
+		fault = FaultCrash
+	}
 	if fault == "" {
 		fault = b.callOthers(r.Context(), id)
 	}
