publishing, node: release notes that a restored store lacks stay in force and are stored again

What operators of the project's own interface would see: after the store came back from a copy, a note was published with a revision that was in force already, and no node took it.

Change: a note is applied to the state in force if the stored one has a lower revision, and a node that reads a lower revision than that in force stores the latter, on the condition that the entry has not changed. So the store confirms the revision again, and nodes whose revision counts as stale do not read without a pause.

Why it works: in force is only what was stored, and a stored revision never falls but by a restore, so that a higher one in force is what the store has lost.

--- a/deployment/faults_test.go
+++ b/deployment/faults_test.go
@@ -18,6 +18,7 @@
 	"github.com/banyancross/banyancross/deployment"
 	"github.com/banyancross/banyancross/membership"
 	"github.com/banyancross/banyancross/note"
+	"github.com/banyancross/banyancross/publishing"
 	"github.com/banyancross/banyancross/standin"
 	"github.com/banyancross/banyancross/upstream"
 )
@@ -145,6 +146,37 @@
 		}, 5*time.Second).Should(Equal("answered"))
 	})
 
+	It("stay in force when the platform is restored from a copy without them, and the next one is added", func() {
+		// Guards against notes that are published and not in force until they have passed the
+		// revision in force, and against nodes that read the copy again and again.
+		fleet := start(sixHosts())
+		fleet.Platform.SetTimeline(1)
+		copied := fleet.Platform.Copy()
+		for i, name := range []string{"second", "third"} {
+			Expect(publish(fleet.Members[0], name, 5+i)).To(Succeed())
+		}
+		waitForAll := func(want uint64) {
+			GinkgoHelper()
+			Eventually(func(g Gomega) {
+				for _, member := range fleet.Members {
+					g.Expect(revision(member)).To(Equal(want))
+				}
+			}, 13*time.Second).Should(Succeed())
+		}
+		waitForAll(3)
+		fleet.Platform.SetDown(true)
+		fleet.Platform.Restore(copied)
+		Expect(publish(fleet.Members[0], "fourth", 7)).To(Succeed())
+		waitForAll(4)
+		fleet.Platform.Restore(copied)
+		Eventually(func() uint64 {
+			state, err := note.Decode(fleet.Platform.Value(publishing.ConfigurationKey))
+			Expect(err).NotTo(HaveOccurred())
+			return state.Revision
+		}, 13*time.Second).Should(Equal(uint64(4)))
+		waitForAll(4)
+	})
+
 	It("are read back when the response to a write is lost", func() {
 		fleet := start(sixHosts())
 		fleet.Platform.DropAnswers(1)
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -88,19 +88,40 @@
 	if err != nil {
 		return last, err
 	}
+	state := &note.State{}
+	if next.Version() != 0 {
+		if state, err = note.Decode(next.Value()); err != nil {
+			_ = level.Error(n.logger).Log("event", "configuration-unreadable", "err", err)
+			return last, err
+		}
+	}
+	if n.inForce.Revision() > state.Revision {
+		return n.restoreConfiguration(ctx, next)
+	}
 	if next.Version() == 0 {
 		return next, nil
 	}
-	state, err := note.Decode(next.Value())
-	if err != nil {
-		_ = level.Error(n.logger).Log("event", "configuration-unreadable", "err", err)
-		return last, err
-	}
 	n.adopt(ctx, state)
 	n.inForce.Confirm(state.Revision, started)
 	return next, nil
 }
 
+// restoreConfiguration stores the state in force in place of an earlier one, to which the store
+// was restored from a copy. It returns the entry to watch from, an absent one if the key is to be
+// read again.
+func (n *Node) restoreConfiguration(ctx context.Context, earlier platform.Entry) (platform.Entry, error) {
+	revision := n.inForce.Revision()
+	err := n.store.Put(ctx, publishing.ConfigurationKey, n.encodedState(), earlier)
+	if platform.KindOf(err) == platform.KindConflict {
+		// This node heard of a later state before its watch did.
+		return earlier, nil
+	}
+	if err == nil {
+		_ = level.Warn(n.logger).Log("event", "configuration-restored", "revision", revision)
+	}
+	return platform.Entry{}, err
+}
+
 // adopt puts a state in force if it is newer and sends its revision to the
 // neighbours.
 func (n *Node) adopt(ctx context.Context, state *note.State) {
--- a/node/node.go
+++ b/node/node.go
@@ -198,7 +198,7 @@
 		upstream.WithNotify(n.upstreamChanged), upstream.WithQuarantine(n.quarantine))
 	n.hops = hop.NewClient(hop.Dial(n.dial))
 	n.peers = control.NewPeers(n.handle, control.Dial(n.dial))
-	n.publisher = publishing.New(n.store, n.clock)
+	n.publisher = publishing.New(n.store, n.clock, publishing.WithInForce(n.inForce.State))
 	n.domainCounts = newDomainCounts()
 	n.entry = entry.New(n.clock, n, n, n.counter, entry.WithPolicy(n.newPolicy),
 		entry.WithLocation(n.settings.Location()), entry.WithObserver(n.observe), entry.WithTracer(n.tracer))
--- a/publishing/publisher.go
+++ b/publishing/publisher.go
@@ -62,13 +62,27 @@
 
 // Publisher publishes, amends and withdraws notes.
 type Publisher struct {
-	store Store
-	clock Clock
+	store   Store
+	clock   Clock
+	inForce func() *note.State
+}
+
+// Option configures a Publisher.
+type Option func(*Publisher)
+
+// WithInForce sets a function that returns the state in force, nil for none. It goes before a
+// stored state of a lower revision, which is one that the store was restored to from a copy.
+func WithInForce(inForce func() *note.State) Option {
+	return func(p *Publisher) { p.inForce = inForce }
 }
 
 // New returns a Publisher that writes to store.
-func New(store Store, clock Clock) *Publisher {
-	return &Publisher{store: store, clock: clock}
+func New(store Store, clock Clock, options ...Option) *Publisher {
+	p := &Publisher{store: store, clock: clock, inForce: func() *note.State { return nil }}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // Publish applies the note to the stored state and returns a state that
@@ -96,12 +110,16 @@
 	for range maxAttempts {
 		state, entry, err := p.read(ctx)
 		if err == nil {
+			restored := false
+			if latest := p.inForce(); latest != nil && latest.Revision > state.Revision {
+				state, restored = latest, true
+			}
 			var next *note.State
 			next, err = change(state)
 			if err != nil {
 				return nil, &Error{op: op, kind: KindRefused, err: err}
 			}
-			if next == state {
+			if next == state && !restored {
 				return state, nil
 			}
 			err = p.write(ctx, next, entry)
