soak: restores of the store from copies

The store of all scenarios numbers its timelines now.

After the last event the store is restored once more, and the operators' last write has the revision that the watches had reached; nothing follows it.

--- a/cmd/banyancross/soak.go
+++ b/cmd/banyancross/soak.go
@@ -19,7 +19,7 @@
 	Seeds    int           `default:"1" help:"How many runs, each with the next seed."`
 	Nodes    int           `default:"5" help:"How many sidecars a run has."`
 	Span     time.Duration `default:"12s" help:"How long a fleet is disturbed."`
-	Scenario string        `enum:"mixed,kill-storm,repeated-rejections" default:"mixed" help:"What is injected: all kinds of faults, kills of nodes while upstreams lose answers, or all kinds of faults while upstreams reject requests and repeat responses (for 2 or 3 nodes)."`
+	Scenario string        `enum:"mixed,kill-storm,repeated-rejections,store-restores" default:"mixed" help:"What is injected: all kinds of faults, kills of nodes while upstreams lose answers, all kinds of faults and restores of the store from copies, or all kinds of faults while upstreams reject requests and repeat responses (for 2 or 3 nodes)."`
 	Think    time.Duration `default:"25ms" help:"The mean time between an answer and the caller's next request."`
 	Timed    bool          `default:"true" negatable:"" help:"Also check what has a bound in time; not for a machine that is busy."`
 	Program  string        `help:"The program to run; this one when empty."`
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -68,6 +68,8 @@
 		f.platform.Compact()
 	case storeEndsLeases:
 		f.platform.EndLeases()
+	case storeRestored:
+		f.restoreStore(ctx, e)
 	case publishConfiguration:
 		f.publishConfiguration()
 	}
@@ -150,8 +152,8 @@
 func (f *fleet) publishConfiguration() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.platform.StoreConfiguration(len(f.publishedAt)+1, service, f.options.calledService(), routeTimeout)
 	f.publishedAt = append(f.publishedAt, time.Now())
+	f.storeLatest()
 }
 
 // recordFault records the time at which a fault begins or ends. A paused process and
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -73,7 +73,7 @@
 		switch kind {
 		case 0:
 			r.version = f.drawVersion(rng)
-			r.path = fmt.Sprintf("/only-%d/1", r.version)
+			r.path = versionPath(r.version)
 		case 1, 2:
 			r.path, r.atMostOnce = "/pay/1", true
 		case 3:
@@ -87,6 +87,9 @@
 	}
 }
 
+// versionPath returns a path that only a version of the configuration has a route for.
+func versionPath(version int) string { return fmt.Sprintf("/only-%d/1", version) }
+
 // drawVersion returns the latest configuration version or the one before it.
 func (f *fleet) drawVersion(rng *rand.Rand) int {
 	f.mu.Lock()
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -36,6 +36,9 @@
 // A KillStorm kills nodes again and again instead, while upstreams lose answers and runs
 // of one service call another one.
 //
+// StoreRestores brings the store back from copies some seconds old, again and again, among
+// the events of other runs.
+//
 // The upstreams and the store are stand-ins within the process that runs the soak,
 // so that their records survive the faults of the sidecars.
 package soak
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -33,6 +33,7 @@
 	storeDropsAnswers      eventKind = "store-loses-answers"
 	storeCompacts          eventKind = "store-compacts"
 	storeEndsLeases        eventKind = "store-ends-leases"
+	storeRestored          eventKind = "store-restored"
 	publishConfiguration   eventKind = "publish"
 	upstreamRejects        eventKind = "upstream-rejects"
 )
@@ -71,6 +72,8 @@
 	duration time.Duration
 	// rejectShare and repeatShare are those of the upstream during upstreamRejects.
 	rejectShare, repeatShare float64
+	// copyAge is the age of the copy in storeRestored.
+	copyAge time.Duration
 }
 
 // String describes the event.
@@ -79,6 +82,9 @@
 	if e.kind == upstreamRejects {
 		text += fmt.Sprintf(", %.2f, repeats %.2f", e.rejectShare, e.repeatShare)
 	}
+	if e.kind == storeRestored {
+		text += fmt.Sprintf(", copy of %s before", e.copyAge.Round(time.Millisecond))
+	}
 	return text
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -82,6 +82,7 @@
 	if err != nil {
 		return nil, &Error{op: "listen", kind: KindSetup, err: err}
 	}
+	f.platform.SetTimeline(1)
 	server := &http.Server{Handler: f.platform, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	defer func() {
@@ -119,7 +120,7 @@
 		}
 		go n.sendHeartbeats(ctx)
 	}
-	if !f.waitUntilServing(ctx, "before", startTimeout) {
+	if !f.waitUntilServing(ctx, "before", 0, startTimeout) {
 		return nil, &Error{op: "start", kind: KindNotServing, err: eris.Errorf("not all nodes serve requests after %s", startTimeout)}
 	}
 	callerCtx, stopCalling := context.WithCancel(ctx)
@@ -137,11 +138,17 @@
 		draw = drawKills
 	case RepeatedRejections:
 		draw = drawRepeatedRejections
+	case StoreRestores:
+		draw = drawStoreRestores
 	}
 	events := draw(f.options.Seed, f.options.Nodes, f.options.Duration)
 	f.runEvents(ctx, events)
 	f.setUpstreamLosses(0)
-	served := f.waitUntilServing(ctx, "after", recoveryTimeout+f.recoverySlack())
+	version := 0
+	if f.options.Scenario == StoreRestores {
+		version = f.restoreLast(ctx)
+	}
+	served := f.waitUntilServing(ctx, "after", version, recoveryTimeout+f.recoverySlack())
 	stopCalling()
 	callers.Wait()
 	if !served && ctx.Err() == nil {
@@ -173,16 +180,21 @@
 	running.Wait()
 }
 
-// waitUntilServing waits until each node has answered a request with status 200. It
-// returns false if that takes longer than timeout.
-func (f *fleet) waitUntilServing(ctx context.Context, idPrefix string, timeout time.Duration) bool {
+// waitUntilServing waits until each node has answered a request with status 200, on the route
+// of a version of the configuration unless that is 0. It returns false if that takes longer than
+// timeout.
+func (f *fleet) waitUntilServing(ctx context.Context, idPrefix string, version int, timeout time.Duration) bool {
+	path := "/view/1"
+	if version > 0 {
+		path = versionPath(version)
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c := standin.NewCaller()
 	defer c.Close()
 	for i, n := range f.nodes {
 		for attempt := 0; ; attempt++ {
-			r := f.send(ctx, c, n, record{id: fmt.Sprintf("%s-%d-%d", idPrefix, i, attempt), path: "/view/1", node: i})
+			r := f.send(ctx, c, n, record{id: fmt.Sprintf("%s-%d-%d", idPrefix, i, attempt), path: path, version: version, node: i})
 			if r.err == nil && r.answer.Status == http.StatusOK {
 				break
 			}
--- a/soak/storm.go
+++ b/soak/storm.go
@@ -19,6 +19,9 @@
 	// KillStorm kills nodes again and again, one or all at a time, while upstreams lose
 	// answers. Runs of one service call another one.
 	KillStorm Scenario = "kill-storm"
+	// StoreRestores adds restores of the store from copies to the events of Mixed. After the
+	// last one, all nodes must serve a new version of the configuration.
+	StoreRestores Scenario = "store-restores"
 )
 
 const (
