--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -148,8 +148,8 @@
 
 // pauseRegistration waits, but not longer than it takes until this node has to register,
 // which it has to again if the store was restored after the latest timeline that was known
-// before, and reports whether the node is still running. After a failure it waits at least
-// until the store is restored.
+// before, and reports whether the node is still running. After a failure it waits on, unless the
+// store is restored meanwhile.
 func (s *Sidecar) pauseRegistration(wait time.Duration, latest uint64, failed bool) bool {
 	for wait > 0 {
 		step := min(wait, anchorCheckInterval)
