sidecar: a node that registers again after a restore starts with the shortest pause

The pauses between failed calls grow to two seconds while the store is away. If it came back from a copy and still rejected a call, the next one came up to 2.5 s later, beyond the two seconds within which entries should be back. Found by reading; no spec, since the stand-in does not reject calls.

--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -81,6 +81,10 @@
 		if !s.pauseRegistration(s.jittered(wait), latest, failing) {
 			return nil
 		}
+		if s.latestTimeline() > latest {
+			// The store is back, and may reject calls for a moment.
+			backoff = minStoreBackoff
+		}
 	}
 	return nil
 }
