sidecar: the specs of a restore wait for all hosts at once

The spec of evacuations looked at one host after the other, and on a busy machine could have ended after the three seconds within which an evacuation that had ended does not return. It looks at all hosts in each poll now, for longer. The type of an outage has the field's word.

--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -17,20 +17,20 @@
 // entriesTime is the time after the store's return within which the entries are back.
 const entriesTime = 2 * time.Second
 
-// drill is a restore of the store from a copy.
-type drill struct {
+// outage is an absence of the store, which comes back from a copy.
+type outage struct {
 	// absence is how long the store is away.
 	absence time.Duration
 	// rewrite is the time from its return until the operators write again what was lost.
 	rewrite time.Duration
 }
 
-// restore plays the drill with a copy that was taken before.
-func (f *testFleet) restore(c standin.Copy, d drill) {
+// restore takes the store away and brings it back from a copy that was taken before.
+func (f *testFleet) restore(c standin.Copy, o outage) {
 	f.store.SetDown(true)
-	time.Sleep(d.absence)
+	time.Sleep(o.absence)
 	f.store.Restore(c)
-	time.Sleep(d.rewrite)
+	time.Sleep(o.rewrite)
 }
 
 // waitForRevision waits until all hosts use a configuration in time, and checks meanwhile that
@@ -67,29 +67,29 @@
 var _ = Describe("a store that comes back from a copy", func() {
 	// Guards against a configuration that is never in force, as the restored store has passed the
 	// revision that the watches had reached, or gives out that of the last one again.
-	DescribeTable("keeps the configuration in force, and passes on the one written again and the next", func(hosts int, drills ...drill) {
+	DescribeTable("keeps the configuration in force, and passes on the one written again and the next", func(hosts int, outages ...outage) {
 		f := registeredFleet(hosts)
 		version := 1
-		for _, d := range drills {
+		for _, o := range outages {
 			c := f.store.Copy()
 			for range 2 {
 				version++
 				f.publish(version)
 			}
 			f.waitForRevision(version)
-			f.restore(c, d)
+			f.restore(c, o)
 			f.publish(version)
 			version++
 			f.publish(version)
 			f.waitForRevision(version)
 		}
 	},
-		Entry("at once", 3, drill{absence: 100 * time.Millisecond}),
-		Entry("at once, after an absence of which all nodes know", 2, drill{absence: 1500 * time.Millisecond}),
-		Entry("later", 3, drill{absence: 300 * time.Millisecond, rewrite: 2 * time.Second}),
-		Entry("without an absence", 3, drill{}),
-		Entry("twice", 3, drill{absence: 100 * time.Millisecond}, drill{absence: time.Second, rewrite: 500 * time.Millisecond}),
-		Entry("to nodes that do not watch it", 20, drill{absence: time.Second}),
+		Entry("at once", 3, outage{absence: 100 * time.Millisecond}),
+		Entry("at once, after an absence of which all nodes know", 2, outage{absence: 1500 * time.Millisecond}),
+		Entry("later", 3, outage{absence: 300 * time.Millisecond, rewrite: 2 * time.Second}),
+		Entry("without an absence", 3, outage{}),
+		Entry("twice", 3, outage{absence: 100 * time.Millisecond}, outage{absence: time.Second, rewrite: 500 * time.Millisecond}),
+		Entry("to nodes that do not watch it", 20, outage{absence: time.Second}),
 	)
 
 	It("passes on the next configuration that is all that is written again", func() {
@@ -97,20 +97,20 @@
 		c := f.store.Copy()
 		f.publish(2)
 		f.waitForRevision(2)
-		f.restore(c, drill{absence: 500 * time.Millisecond})
+		f.restore(c, outage{absence: 500 * time.Millisecond})
 		// Its revision of the store is that of the lost version.
 		f.publish(3)
 		f.waitForRevision(3)
 	})
 
-	It("passes on what is written between two drills in a row", func() {
+	It("passes on what is written between two restores in a row", func() {
 		f := registeredFleet(3)
 		first := f.store.Copy()
 		f.publish(2)
 		f.waitForRevision(2)
-		f.restore(first, drill{absence: 300 * time.Millisecond})
+		f.restore(first, outage{absence: 300 * time.Millisecond})
 		f.publish(3)
-		f.restore(f.store.Copy(), drill{absence: 300 * time.Millisecond})
+		f.restore(f.store.Copy(), outage{absence: 300 * time.Millisecond})
 		f.waitForRevision(3)
 		f.publish(4)
 		f.waitForRevision(4)
@@ -130,7 +130,7 @@
 		}
 		Eventually(entries).Should(HaveLen(3))
 		for _, absence := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond} {
-			f.restore(c, drill{absence: absence})
+			f.restore(c, outage{absence: absence})
 			Eventually(entries, entriesTime).Should(HaveLen(3))
 			_, writes, _ := f.store.Calls()
 			Consistently(func() uint64 {
@@ -150,18 +150,18 @@
 		stored := func() []byte { return f.store.Value("banyancross/findings/stock") }
 		a.sidecar.SetEstimate("stock", egress.SaturationEstimate{Slowdown: 1.6, Samples: 100})
 		Eventually(stored).ShouldNot(BeEmpty())
-		f.restore(c, drill{})
+		f.restore(c, outage{})
 		Expect(stored()).To(BeEmpty())
 		Eventually(stored, "5s").ShouldNot(BeEmpty())
 	})
 
 	It("has the crash counts again, and ends no block", func() {
-		// Guards against a request that crashes upstreams again after a drill.
+		// Guards against a request that crashes upstreams again after a restore.
 		f, entry := fleetAfterCrashes()
 		last := f.unharmed()
 		Eventually(blocksDeadly(entry)).Should(BeTrue())
 		f.waitUntilStored()
-		f.restore(standin.NewPlatform().Copy(), drill{absence: 300 * time.Millisecond})
+		f.restore(standin.NewPlatform().Copy(), outage{absence: 300 * time.Millisecond})
 		f.publish(1)
 		Eventually(f.storedCrashes, "5s").ShouldNot(BeEmpty())
 		f.waitUntilStored()
@@ -187,15 +187,16 @@
 		f.store.Remove("op/evacuate/z9")
 		f.waitForEvacuation("z2")
 		before := len(logs.text())
-		f.restore(c, drill{absence: 500 * time.Millisecond})
-		for _, h := range f.hosts {
-			Consistently(h.sidecar.Evacuated, "700ms").Should(ConsistOf("z2"))
+		f.restore(c, outage{absence: 500 * time.Millisecond})
+		expectZ2 := func(g Gomega) {
+			for _, h := range f.hosts {
+				g.Expect(h.sidecar.Evacuated()).To(ConsistOf("z2"), h.name)
+			}
 		}
+		Consistently(expectZ2, "1500ms").Should(Succeed())
 		f.store.Store(evacuationOfZ2, nil)
 		f.store.Remove("op/evacuate/z9")
-		for _, h := range f.hosts {
-			Consistently(h.sidecar.Evacuated, "500ms").Should(ConsistOf("z2"))
-		}
+		Consistently(expectZ2, "1500ms").Should(Succeed())
 		f.store.Remove(evacuationOfZ2)
 		f.waitForEvacuation()
 		Expect(logs.text()[before:]).NotTo(ContainSubstring("z9"))
@@ -206,7 +207,7 @@
 		f := registeredFleet(2)
 		f.add(f.unwatchable(), sidecar.WithLogger(log.NewJSONLogger(logs)))
 		Eventually(f.hosts[2].sidecar.Settled).Should(BeTrue())
-		f.restore(f.store.Copy(), drill{})
+		f.restore(f.store.Copy(), outage{})
 		Eventually(logs.text).Should(MatchRegexp(`"event":"store-restored",.*"previous":1,.*"timeline":2`))
 	})
 })
