--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -131,7 +131,7 @@
 	mu  sync.Mutex
 	rng *rand.Rand
 	// timeline is the latest timeline of the store that this node has noted, and
-	// evacuationHold keeps the evacuations from before it.
+	// evacuationHold keeps the evacuations that were in force before; mu guards both.
 	timeline       uint64
 	evacuationHold evacuation.Hold
 }
