sidecar: one function makes a signal pending, and a restore asks for the crash records

Read once more: the send to a channel of capacity one stood in six places, and Blocklist.HasCrashes wrote again what Records tells. A beacon whose timeline is known costs no lock of the store's client. Behaviour is as before; format, lint, vet and the specs of sidecar and quarantine pass.

--- a/quarantine/blocklist.go
+++ b/quarantine/blocklist.go
@@ -137,19 +137,6 @@
 	return len(b.latest((*crashState).blocked))
 }
 
-// HasCrashes reports whether there are requests that have crashed upstreams and were not
-// answered since.
-func (b *Blocklist) HasCrashes() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, c := range b.requests {
-		if c.crashes() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // RecentRecords returns what has changed at this node and what was blocked within
 // announceTime, and the blocks that are not stored yet, the latest first.
 func (b *Blocklist) RecentRecords(now time.Time) []Record {
--- a/sidecar/beacons.go
+++ b/sidecar/beacons.go
@@ -37,29 +37,22 @@
 	pauseThreshold = 300 * time.Millisecond
 )
 
-// notifyStateChanged requests a beacon to all nodes.
-func (s *Sidecar) notifyStateChanged() {
+// notify makes a signal of capacity one pending, unless it is.
+func notify(signal chan<- struct{}) {
 	select {
-	case s.stateChanged <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
 }
 
+// notifyStateChanged requests a beacon to all nodes.
+func (s *Sidecar) notifyStateChanged() { notify(s.stateChanged) }
+
 // notifyLoadChanged requests a load notice to the nodes that send calls here.
-func (s *Sidecar) notifyLoadChanged() {
-	select {
-	case s.loadChanged <- struct{}{}:
-	default:
-	}
-}
+func (s *Sidecar) notifyLoadChanged() { notify(s.loadChanged) }
 
 // notifyEstimateChanged requests that the gate's saturation estimate be stored.
-func (s *Sidecar) notifyEstimateChanged() {
-	select {
-	case s.estimateChanged <- struct{}{}:
-	default:
-	}
-}
+func (s *Sidecar) notifyEstimateChanged() { notify(s.estimateChanged) }
 
 // beacon returns a beacon with this node's current state.
 func (s *Sidecar) beacon() fleet.Beacon {
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -24,12 +24,7 @@
 )
 
 // notifyCrashesChanged requests that the crash counts be stored.
-func (s *Sidecar) notifyCrashesChanged() {
-	select {
-	case s.crashesChanged <- struct{}{}:
-	default:
-	}
-}
+func (s *Sidecar) notifyCrashesChanged() { notify(s.crashesChanged) }
 
 // storeCrashes writes changed crash counts to the store.
 func (s *Sidecar) storeCrashes() error {
--- a/sidecar/quota.go
+++ b/sidecar/quota.go
@@ -103,10 +103,7 @@
 		return
 	}
 	q.updateMembers()
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
+	notify(q.wake)
 }
 
 // updateLimits passes the limits of the configuration in force to the node.
--- a/sidecar/restore.go
+++ b/sidecar/restore.go
@@ -32,7 +32,7 @@
 			return nil
 		case <-next:
 		case <-s.storeRestored:
-			if !s.blocklist.HasCrashes() {
+			if len(s.blocklist.Records()) == 0 {
 				continue
 			}
 			if !s.sleep(time.Duration(s.uniform() * float64(crashRestoreSpread))) {
@@ -61,10 +61,7 @@
 	}
 	_ = level.Warn(s.logger).Log("event", "store-restored", "timeline", latest, "previous", previous, "revision", s.Revision())
 	s.notifyEstimateChanged()
-	select {
-	case s.storeRestored <- struct{}{}:
-	default:
-	}
+	notify(s.storeRestored)
 	if s.announcedTimeline.Load() < latest {
 		// The others may not know yet.
 		s.notifyStateChanged()
@@ -74,8 +71,10 @@
 // noteAnnouncedTimeline notes the timeline in a beacon. One far beyond those that the store
 // has named to this node is not credible.
 func (s *Sidecar) noteAnnouncedTimeline(b fleet.Beacon) {
-	own := s.store.Timeline()
-	if own == 0 || b.StoreTimeline <= s.announcedTimeline.Load() || b.StoreTimeline > own+maxTimelineLead {
+	if b.StoreTimeline <= s.announcedTimeline.Load() {
+		return
+	}
+	if own := s.store.Timeline(); own == 0 || b.StoreTimeline > own+maxTimelineLead {
 		return
 	}
 	// Only the receiving loop writes it.
