--- a/soak/restores.go
+++ b/soak/restores.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/banyancross/banyancross/standin"
 )
 
 const (
@@ -34,10 +36,16 @@
 func (f *fleet) restoreStore(ctx context.Context, e event) {
 	saved := f.platform.Copy()
 	sleep(ctx, e.copyAge)
+	f.bringBack(ctx, saved, e.duration, e.duration/2)
+}
+
+// bringBack takes the store away, restores it from a copy, and then writes the latest version of
+// the configuration again after a while.
+func (f *fleet) bringBack(ctx context.Context, saved standin.Copy, absence, untilRewrite time.Duration) {
 	f.platform.SetDown(true)
-	sleep(ctx, e.duration)
+	sleep(ctx, absence)
 	f.platform.Restore(saved)
-	sleep(ctx, e.duration/2)
+	sleep(ctx, untilRewrite)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeLatest()
@@ -52,12 +60,7 @@
 		f.publishConfiguration()
 		sleep(ctx, minDuration)
 	}
-	f.platform.SetDown(true)
-	sleep(ctx, maxDuration/2)
-	f.platform.Restore(saved)
-	f.mu.Lock()
-	f.storeLatest()
-	f.mu.Unlock()
+	f.bringBack(ctx, saved, maxDuration/2, 0)
 	f.publishConfiguration()
 	return len(f.publishedAt)
 }
